--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,102 @@
+/*!
+Asking entries, one after another, until one answers.
+*/
+
+use {
+    crate::{error::CommandError, options::CallOptions},
+    reqwest::{Client, RequestBuilder},
+    serde::de::DeserializeOwned,
+    std::time::Duration,
+};
+
+/// How long one entry is waited for.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks entries.
+pub(crate) struct EntryClient<'a> {
+    options: &'a CallOptions,
+    http: Client,
+}
+
+impl<'a> EntryClient<'a> {
+    /// Makes a client.
+    ///
+    /// # Errors
+    ///
+    /// [`CommandError::NoServers`] when there is nobody to ask.
+    pub(crate) fn new(options: &'a CallOptions) -> Result<Self, CommandError> {
+        if options.servers.is_empty() {
+            return Err(CommandError::NoServers);
+        }
+        let http = Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT_TIMEOUT);
+        let http = http.timeout(ANSWER_TIMEOUT).build();
+        let http = http.map_err(|error| CommandError::Unanswered { last: Some(error) })?;
+        Ok(Self { options, http })
+    }
+
+    /// Gets a page from the first entry that has it.
+    ///
+    /// # Errors
+    ///
+    /// [`CommandError::Unanswered`] when none has.
+    pub(crate) async fn get<T>(&self, path: &str) -> Result<T, CommandError>
+    where
+        T: DeserializeOwned,
+    {
+        let mut last = None;
+        for server in &self.options.servers {
+            match self.get_from(server, path).await {
+                Ok(body) => return Ok(body),
+                Err(error) => last = Some(error),
+            }
+        }
+        Err(CommandError::Unanswered { last })
+    }
+
+    /// Gets a page from one entry.
+    ///
+    /// # Errors
+    ///
+    /// As the entry's answer has it.
+    pub(crate) async fn get_from<T>(&self, server: &str, path: &str) -> Result<T, reqwest::Error>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = self
+            .http
+            .get(format!("http://{server}{path}"))
+            .send()
+            .await?;
+        answer.error_for_status()?.json().await
+    }
+
+    /// Posts a body to one entry, with the operator's token.
+    ///
+    /// # Errors
+    ///
+    /// As the entry's answer has it.
+    pub(crate) async fn post_to<B, T>(
+        &self,
+        server: &str,
+        path: &str,
+        body: &B,
+    ) -> Result<T, reqwest::Error>
+    where
+        B: serde::Serialize,
+        T: DeserializeOwned,
+    {
+        let request = self.http.post(format!("http://{server}{path}")).json(body);
+        self.with_token(request).send().await?.json().await
+    }
+
+    fn with_token(&self, request: RequestBuilder) -> RequestBuilder {
+        match &self.options.token {
+            Some(token) => request.bearer_auth(token),
+            None => request,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,54 @@
+/*!
+What each command does.
+*/
+
+mod change;
+mod replicas;
+mod show;
+
+use {
+    crate::{error::CommandError, options::CallOptions},
+    clap::{ArgMatches, Command},
+};
+
+/// Returns the commands.
+pub(crate) fn subcommands() -> Vec<Command> {
+    let mut all = change::subcommands();
+    all.extend(show::subcommands());
+    all.push(replicas::subcommand());
+    all
+}
+
+/// Runs the command that was asked for.
+///
+/// # Errors
+///
+/// See [`CommandError`].
+pub(crate) async fn run(options: &CallOptions, matches: &ArgMatches) -> Result<(), CommandError> {
+    let Some((name, arguments)) = matches.subcommand() else {
+        return Ok(());
+    };
+    match name {
+        "check" => change::check(options, arguments).await,
+        "publish" => change::publish(options, arguments).await,
+        "drain" => change::drain(options, arguments, change::DrainChange::Add).await,
+        "undrain" => change::drain(options, arguments, change::DrainChange::Remove).await,
+        "show" => show::show(options).await,
+        "status" => show::status(options, arguments).await,
+        "audit" => show::audit(options, arguments).await,
+        "tally" => show::tally(options, arguments).await,
+        "lookup" => show::lookup(options, arguments).await,
+        _ => replicas::run(options, arguments).await,
+    }
+}
+
+/// Prints something as JSON.
+pub(crate) fn print_json<T>(value: &T)
+where
+    T: serde::Serialize,
+{
+    println!(
+        "{}",
+        serde_json::to_string_pretty(value).unwrap_or_default()
+    );
+}
--- /dev/null
+++ b/crates/core/src/consensus/members.rs
@@ -0,0 +1,184 @@
+/*!
+Changes of the replicas, one voter at a time.
+
+A change is refused while an earlier one isn't committed, and before the leader has committed an
+entry of its own term; then any two quorums of neighbouring sets share a voter.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        consensus::{
+            group::ConsensusGroup,
+            types::{LogPayload, MemberSet, ReplicaId, ReplicaMember},
+        },
+        notes::NodeNote,
+    },
+    hemlockspool_model::names::InstanceName,
+    thiserror::Error,
+};
+
+/// The most replicas that vote.
+pub const VOTERS_MAX: usize = 7;
+
+/// Why a change of the replicas isn't made.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum MemberRefusal {
+    /// This replica doesn't lead.
+    #[error("this replica does not lead")]
+    NotLeader,
+    /// An earlier change isn't committed.
+    #[error("an earlier change of the replicas is under way")]
+    Busy,
+    /// No such replica.
+    #[error("no such replica")]
+    NotKnown,
+    /// The voters that answer would be no quorum afterwards.
+    #[error("the replicas that answer would be no quorum afterwards")]
+    WouldBreakQuorum,
+    /// The data folder already belongs to a deployment.
+    #[error("the data folder already belongs to a deployment")]
+    NotEmpty,
+}
+
+impl ConsensusGroup {
+    /// Makes this blank replica the only voter of a new deployment.
+    ///
+    /// # Errors
+    ///
+    /// [`MemberRefusal::NotEmpty`] when it belongs to one already.
+    pub fn init(&mut self, member: ReplicaMember, now: Moment) -> Result<(), MemberRefusal> {
+        if !self.is_blank() || self.hard.term != 0 {
+            return Err(MemberRefusal::NotEmpty);
+        }
+        let members = MemberSet::from([(
+            self.me,
+            ReplicaMember {
+                voter: true,
+                ..member
+            },
+        )]);
+        let position = super::LogPosition { term: 1, index: 1 };
+        self.hard.term = 1;
+        let entry = super::LogEntry {
+            position,
+            payload: LogPayload::Members(members),
+        };
+        self.append_local(vec![entry.clone()]);
+        let hard = Some(self.hard);
+        self.persist(super::PersistBatch {
+            hard,
+            entries: vec![entry],
+            ..Default::default()
+        });
+        self.election_due = now;
+        Ok(())
+    }
+
+    /// Takes in a replica as a learner; an older life of the same instance goes at the same time.
+    ///
+    /// # Errors
+    ///
+    /// See [`MemberRefusal`].
+    pub fn add_learner(
+        &mut self,
+        id: ReplicaId,
+        member: ReplicaMember,
+        now: Moment,
+    ) -> Result<(), MemberRefusal> {
+        self.changeable()?;
+        if self.members().contains_key(&id) {
+            return Ok(());
+        }
+        let mut members = self.members().clone();
+        members.retain(|_, other| other.name != member.name);
+        members.insert(
+            id,
+            ReplicaMember {
+                voter: false,
+                ..member
+            },
+        );
+        self.change_members(members, now)
+    }
+
+    /// Takes an instance out.
+    ///
+    /// # Errors
+    ///
+    /// See [`MemberRefusal`].
+    pub fn remove(&mut self, name: &InstanceName, now: Moment) -> Result<(), MemberRefusal> {
+        self.changeable()?;
+        let mut members = self.members().clone();
+        members.retain(|_, other| other.name != *name);
+        if members.len() == self.members().len() {
+            return Err(MemberRefusal::NotKnown);
+        }
+        self.change_members(members, now)
+    }
+
+    fn changeable(&self) -> Result<(), MemberRefusal> {
+        if !self.is_leader() {
+            return Err(MemberRefusal::NotLeader);
+        }
+        let pending = self
+            .member_log
+            .last()
+            .is_some_and(|(index, _)| *index > self.commit);
+        let own_term = self.log.term_at(self.commit) == Some(self.hard.term);
+        if pending || !own_term {
+            Err(MemberRefusal::Busy)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn change_members(&mut self, members: MemberSet, now: Moment) -> Result<(), MemberRefusal> {
+        let voters = members.iter().filter(|(_, member)| member.voter);
+        let (mut count, mut answering) = (0, 0);
+        for (id, _) in voters {
+            count += 1;
+            answering += usize::from(self.answers(*id, now));
+        }
+        if answering < count / 2 + 1 {
+            return Err(MemberRefusal::WouldBreakQuorum);
+        }
+        self.propose(LogPayload::Members(members), now);
+        Ok(())
+    }
+
+    fn answers(&self, id: ReplicaId, now: Moment) -> bool {
+        let echo = self.progress.get(&id).and_then(|progress| progress.echo);
+        let recent = |at: Moment| now.since(at) < super::types::ELECTION_MIN;
+        id == self.me || echo.is_some_and(recent)
+    }
+
+    /// Gives a vote to a learner that has all that is committed.
+    pub(crate) fn promote_learners(&mut self, now: Moment) {
+        if self.changeable().is_err() || self.voters().count() >= VOTERS_MAX {
+            return;
+        }
+        let mut members = self.members().clone();
+        let ready = |id: &ReplicaId| {
+            self.answers(*id, now) && self.matched(*id).is_some_and(|at| at >= self.commit)
+        };
+        let learner = members
+            .iter_mut()
+            .find(|(id, member)| !member.voter && ready(id));
+        let Some((_, member)) = learner else { return };
+        member.voter = true;
+        let name = member.name.clone();
+        self.note(NodeNote::ReplicaPromoted { name });
+        self.propose(LogPayload::Members(members), now);
+    }
+
+    pub(crate) fn resign_when_removed(&mut self, now: Moment) {
+        let settled = self
+            .member_log
+            .last()
+            .is_some_and(|(index, _)| *index <= self.commit);
+        if settled && !self.members().contains_key(&self.me) {
+            self.become_follower(None, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/replication.rs
@@ -0,0 +1,197 @@
+/*!
+Copying the log: appends, acknowledgements and the commit index.
+*/
+
+use crate::{
+    clock::Moment,
+    consensus::{
+        group::ConsensusGroup,
+        types::{
+            APPEND_ENTRIES_MAX, ConsensusMessage, LogEntry, LogPosition, PersistBatch, ReplicaId,
+        },
+    },
+};
+
+impl ConsensusGroup {
+    /// Sends every other replica what it lacks.
+    pub(crate) fn replicate(&mut self, now: Moment) {
+        for to in self.others() {
+            let next = self.progress_of(to).next;
+            if next <= self.log.last().index {
+                self.send_append(to, now);
+            }
+        }
+        self.advance_commit(now);
+    }
+
+    /// Sends every other replica an append, empty when it lacks nothing.
+    pub(crate) fn heartbeat(&mut self, now: Moment) {
+        for to in self.others() {
+            self.send_append(to, now);
+        }
+    }
+
+    fn others(&self) -> Vec<ReplicaId> {
+        self.members()
+            .keys()
+            .copied()
+            .filter(|id| *id != self.me)
+            .collect()
+    }
+
+    pub(crate) fn send_append(&mut self, to: ReplicaId, now: Moment) {
+        let next = self.progress_of(to).next;
+        let Some(term) = self.log.term_at(next.saturating_sub(1)) else {
+            self.send_snapshot(to, now);
+            return;
+        };
+        let previous = LogPosition {
+            term,
+            index: next - 1,
+        };
+        let entries = self.log.slice(next, APPEND_ENTRIES_MAX);
+        self.progress_of(to).next = next + entries.len() as u64;
+        let (term, commit) = (self.hard.term, self.commit);
+        let message = ConsensusMessage::Append {
+            term,
+            previous,
+            entries,
+            commit,
+            sent_at: now,
+        };
+        self.send_now(to, message);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn on_append(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
+        commit: u64,
+        sent_at: Moment,
+        now: Moment,
+    ) {
+        if !self.follow(from, term, now) {
+            self.reply_append(from, None, sent_at);
+            return;
+        }
+        let known = previous.index < self.log.base().index
+            || self.log.term_at(previous.index) == Some(previous.term);
+        if !known {
+            self.reply_append(from, None, sent_at);
+            return;
+        }
+        let matched = previous.index + entries.len() as u64;
+        self.take_entries(entries);
+        self.commit = self.commit.max(commit.min(matched));
+        self.reply_append(from, Some(matched), sent_at);
+    }
+
+    fn take_entries(&mut self, entries: Vec<LogEntry>) {
+        let base = self.log.base().index;
+        let known = |entry: &LogEntry| {
+            let at = entry.position;
+            at.index <= base || self.log.term_at(at.index) == Some(at.term)
+        };
+        let fresh: Vec<LogEntry> = entries.into_iter().skip_while(known).collect();
+        let Some(first) = fresh.first() else { return };
+        let keep = first.position.index - 1;
+        let truncate_after = (keep < self.log.last().index).then_some(keep);
+        if truncate_after.is_some() {
+            debug_assert!(keep >= self.commit, "a committed entry is never dropped");
+            self.truncate_local(keep);
+        }
+        self.append_local(fresh.clone());
+        self.persist(PersistBatch {
+            truncate_after,
+            entries: fresh,
+            ..PersistBatch::default()
+        });
+    }
+
+    fn reply_append(&mut self, to: ReplicaId, matched: Option<u64>, echo: Moment) {
+        let (term, hint) = (self.hard.term, self.log.last().index);
+        let message = ConsensusMessage::AppendReply {
+            term,
+            matched,
+            hint,
+            echo,
+        };
+        self.answer_leader(to, message);
+    }
+
+    /// Answers whoever sent, also while this replica isn't in any set of replicas yet.
+    pub(crate) fn answer_leader(&mut self, to: ReplicaId, message: ConsensusMessage) {
+        self.send_durable(to, message);
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        matched: Option<u64>,
+        hint: u64,
+        echo: Moment,
+        now: Moment,
+    ) {
+        if !self.accept_reply(from, term, echo, now) {
+            return;
+        }
+        let last = self.log.last().index;
+        let progress = self.progress_of(from);
+        match matched {
+            Some(index) => {
+                progress.matched = progress.matched.max(index);
+                progress.next = progress.next.max(index + 1);
+            }
+            None => {
+                progress.next = (hint + 1).min(progress.next.saturating_sub(1)).max(1);
+                self.send_append(from, now);
+            }
+        }
+        if matched.is_some() && self.progress_of(from).next <= last {
+            self.send_append(from, now);
+        }
+        self.advance_commit(now);
+        self.promote_learners(now);
+    }
+
+    /// Tells whether a reply belongs to this leader's term, and remembers that it came.
+    pub(crate) fn accept_reply(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        echo: Moment,
+        now: Moment,
+    ) -> bool {
+        if term > self.hard.term {
+            self.raise_term(term, now);
+            return false;
+        }
+        if !self.is_leader() || term < self.hard.term || !self.members().contains_key(&from) {
+            return false;
+        }
+        let progress = self.progress_of(from);
+        progress.echo = progress.echo.max(Some(echo));
+        true
+    }
+
+    pub(crate) fn advance_commit(&mut self, now: Moment) {
+        let mut matched: Vec<u64> = self
+            .voters()
+            .map(|id| self.matched(id).unwrap_or(0))
+            .collect();
+        matched.sort_unstable();
+        let Some(place) = matched.len().checked_sub(self.quorum()) else {
+            return;
+        };
+        let index = matched[place];
+        let own_term = self.log.term_at(index) == Some(self.hard.term);
+        if index > self.commit && own_term {
+            self.commit = index;
+            self.resign_when_removed(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/snapshot.rs
@@ -0,0 +1,219 @@
+/*!
+Snapshots: taking them, sending them in parts, and starting anew from one.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        consensus::{
+            group::ConsensusGroup,
+            types::{
+                ConsensusMessage, PersistBatch, ReplicaId, SNAPSHOT_CHUNK_BYTES, SNAPSHOT_EVERY,
+                SnapshotImage, SnapshotMeta, TRAILING_ENTRIES,
+            },
+        },
+        notes::NodeNote,
+    },
+    std::time::Duration,
+};
+
+/// After how long without an answer a part of a snapshot is sent again.
+const CHUNK_RESEND_AFTER: Duration = Duration::from_millis(500);
+
+/// Bytes of the last snapshot for which one more entry is waited for before the next.
+const SNAPSHOT_BYTES_PER_ENTRY: u64 = 1_024;
+
+/// A snapshot that is arriving.
+#[derive(Clone, Debug)]
+pub(crate) struct SnapshotIntake {
+    meta: SnapshotMeta,
+    total: u64,
+    bytes: Vec<u8>,
+}
+
+impl ConsensusGroup {
+    /// Tells whether enough was applied since the last snapshot; a large ledger waits for more.
+    pub fn wants_snapshot(&self) -> bool {
+        let by_size = self.image.bytes.len() as u64 / SNAPSHOT_BYTES_PER_ENTRY;
+        self.taken >= self.image.meta.last.index + SNAPSHOT_EVERY.max(by_size)
+    }
+
+    /// Takes a snapshot at the last entry that was handed out, from the encoded ledger.
+    pub fn take_snapshot(&mut self, bytes: Vec<u8>) -> Vec<super::ConsensusEffect> {
+        let Some(term) = self.log.term_at(self.taken) else {
+            return Vec::new();
+        };
+        let last = super::LogPosition {
+            term,
+            index: self.taken,
+        };
+        let members = self.members_at(self.taken);
+        self.image = SnapshotImage {
+            meta: SnapshotMeta { last, members },
+            bytes,
+        };
+        self.log.compact_to(
+            self.taken
+                .saturating_sub(TRAILING_ENTRIES)
+                .max(self.log.base().index),
+        );
+        self.forget_old_members();
+        self.persist_reset();
+        self.note(NodeNote::SnapshotTaken {
+            index: last.index,
+            bytes: self.image.bytes.len(),
+        });
+        self.take_effects()
+    }
+
+    fn persist_reset(&mut self) {
+        let reset = Some((self.image.clone(), self.log.base()));
+        let hard = Some(self.hard);
+        let entries = self.log.slice(self.log.base().index + 1, usize::MAX);
+        self.persist(PersistBatch {
+            reset,
+            hard,
+            truncate_after: None,
+            entries,
+        });
+    }
+
+    pub(crate) fn members_at(&self, index: u64) -> super::MemberSet {
+        let sets = self.member_log.iter().rev();
+        let found = sets
+            .filter(|(at, _)| *at <= index)
+            .map(|(_, set)| set.clone())
+            .next();
+        found.unwrap_or_default()
+    }
+
+    fn forget_old_members(&mut self) {
+        let at = self.image.meta.last.index;
+        let members = self.image.meta.members.clone();
+        self.member_log.retain(|(index, _)| *index > at);
+        self.member_log.insert(0, (at, members));
+    }
+
+    pub(crate) fn send_snapshot(&mut self, to: ReplicaId, now: Moment) {
+        let total = self.image.bytes.len() as u64;
+        let progress = self.progress_of(to);
+        let pending = progress
+            .snapshot_sent_at
+            .is_some_and(|at| now.since(at) < CHUNK_RESEND_AFTER);
+        if pending && progress.snapshot_received.is_some() {
+            return;
+        }
+        let offset = progress.snapshot_received.unwrap_or(0).min(total);
+        progress.snapshot_received = Some(offset);
+        progress.snapshot_sent_at = Some(now);
+        let end = (offset as usize + SNAPSHOT_CHUNK_BYTES).min(total as usize);
+        let data = self.image.bytes[offset as usize..end].to_vec();
+        let (term, meta) = (self.hard.term, self.image.meta.clone());
+        let message = ConsensusMessage::SnapshotChunk {
+            term,
+            meta,
+            offset,
+            total,
+            data,
+            sent_at: now,
+        };
+        self.send_now(to, message);
+    }
+
+    pub(crate) fn on_snapshot_chunk(
+        &mut self,
+        from: ReplicaId,
+        meta: SnapshotMeta,
+        offset: u64,
+        total: u64,
+        data: Vec<u8>,
+        sent_at: Moment,
+    ) {
+        let last_index = meta.last.index;
+        if last_index <= self.commit {
+            self.reply_snapshot(from, last_index, total, sent_at);
+            return;
+        }
+        let current = self
+            .intake
+            .as_ref()
+            .is_some_and(|intake| intake.meta == meta);
+        if !current {
+            self.intake = Some(SnapshotIntake {
+                meta,
+                total,
+                bytes: Vec::new(),
+            });
+        }
+        let Some(intake) = &mut self.intake else {
+            return;
+        };
+        if offset == intake.bytes.len() as u64 {
+            intake.bytes.extend_from_slice(&data);
+        }
+        let received = intake.bytes.len() as u64;
+        if received >= intake.total {
+            self.install_intake();
+        }
+        self.reply_snapshot(from, last_index, received, sent_at);
+    }
+
+    fn install_intake(&mut self) {
+        let Some(intake) = self.intake.take() else {
+            return;
+        };
+        let last = intake.meta.last;
+        let image = SnapshotImage {
+            meta: intake.meta,
+            bytes: intake.bytes,
+        };
+        self.truncate_local(last.index.min(self.commit));
+        self.log.reset(last);
+        self.member_log = vec![(last.index, image.meta.members.clone())];
+        self.commit = last.index;
+        self.taken = last.index;
+        self.image = image.clone();
+        self.installed = Some(image);
+        self.persist_reset();
+        self.note(NodeNote::SnapshotInstalled { index: last.index });
+    }
+
+    fn reply_snapshot(&mut self, to: ReplicaId, last_index: u64, received: u64, echo: Moment) {
+        let term = self.hard.term;
+        let message = ConsensusMessage::SnapshotReply {
+            term,
+            last_index,
+            received,
+            echo,
+        };
+        self.answer_leader(to, message);
+    }
+
+    pub(crate) fn on_snapshot_reply(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        last_index: u64,
+        received: u64,
+        echo: Moment,
+        now: Moment,
+    ) {
+        if !self.accept_reply(from, term, echo, now) {
+            return;
+        }
+        let total = self.image.bytes.len() as u64;
+        let current = last_index == self.image.meta.last.index;
+        let progress = self.progress_of(from);
+        progress.snapshot_sent_at = None;
+        if !current || received < total {
+            progress.snapshot_received = current.then_some(received);
+            self.send_append(from, now);
+            return;
+        }
+        progress.snapshot_received = None;
+        progress.matched = progress.matched.max(last_index);
+        progress.next = last_index + 1;
+        self.send_append(from, now);
+        self.advance_commit(now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/effect.rs
@@ -0,0 +1,93 @@
+/*!
+What the reducer wants done.
+
+Effects are data; the shell turns them into deeds. None of them waits: what takes time comes back
+as an event.
+*/
+
+use {
+    crate::{
+        consensus::{GroupId, PersistBatch},
+        notes::NodeNote,
+        requests::{RequestId, RequestOrder},
+        wire::PeerMessage,
+    },
+    hemlockspool_model::{
+        api::{PublishAnswer, ReplicaAnswer},
+        names::TargetName,
+    },
+    std::net::SocketAddr,
+};
+
+/// Names an operator's call that waits for its answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ReplyTicket(pub u64);
+
+/// The answer to an operator's call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OperatorReply {
+    /// To a publication.
+    Publish(PublishAnswer),
+    /// To a change of the replicas.
+    Replica(ReplicaAnswer),
+}
+
+/// A write to the log of one group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DiskEffect {
+    /// The group.
+    pub group: GroupId,
+    /// Comes back once the write is synced.
+    pub ticket: u64,
+    /// What to write.
+    pub batch: PersistBatch,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NodeEffect {
+    /// Send a message; it may get lost.
+    Send {
+        /// Where the receiver listens.
+        to: SocketAddr,
+        /// The message.
+        message: Box<PeerMessage>,
+    },
+    /// Write to disk, in order.
+    Disk(DiskEffect),
+    /// Answer an operator.
+    Reply {
+        /// Whom.
+        ticket: ReplyTicket,
+        /// What.
+        reply: OperatorReply,
+    },
+    /// Go on with a caller's request.
+    Request {
+        /// Which.
+        id: RequestId,
+        /// How.
+        order: RequestOrder,
+    },
+    /// Ask a target how it is.
+    Probe {
+        /// Which.
+        target: TargetName,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Write a line to the log.
+    Note(NodeNote),
+    /// Another version is in force; what is derived from it must be made anew. The reducer handles
+    /// this one itself.
+    ConfigChanged,
+}
+
+impl NodeEffect {
+    pub(crate) fn send(to: SocketAddr, message: PeerMessage) -> Self {
+        Self::Send {
+            to,
+            message: Box::new(message),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/audit.rs
@@ -0,0 +1,95 @@
+/*!
+The audit trail: every change asked for, chained by hash.
+
+Each record's digest covers the record and the digest before it, so that a trail that was copied
+out can be checked against a later one. Old records go after some thousands; the digest of the last
+one that went still anchors the rest.
+*/
+
+use {
+    crate::ledger::publication::CHANGED_LINES_MAX,
+    hemlockspool_model::{
+        api::{AuditAction, AuditRecord},
+        names::{ConfigVersion, OperatorName, RequestTag},
+    },
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::collections::VecDeque,
+};
+
+/// Records kept.
+const RECORDS_KEPT: usize = 20_000;
+
+/// A record before it has its place in the chain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct AuditDraft {
+    pub at_ms: u64,
+    pub operator: Option<OperatorName>,
+    pub request: RequestTag,
+    pub action: AuditAction,
+    pub from: ConfigVersion,
+    pub to: ConfigVersion,
+    pub changed: Vec<String>,
+}
+
+/// Records in order.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AuditTrail {
+    records: VecDeque<AuditRecord>,
+    last_sequence: u64,
+    last_chain: String,
+}
+
+impl AuditTrail {
+    /// Returns up to a number of records from a sequence number on.
+    pub fn page(&self, from: u64, most: usize) -> Vec<AuditRecord> {
+        let first = self.records.front().map_or(0, |record| record.sequence);
+        let skip = from.saturating_sub(first) as usize;
+        self.records.iter().skip(skip).take(most).cloned().collect()
+    }
+
+    /// Returns the sequence number of the last record; zero before the first.
+    pub fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    pub(crate) fn push(&mut self, mut draft: AuditDraft) {
+        draft.changed.truncate(CHANGED_LINES_MAX);
+        self.last_sequence += 1;
+        let mut record = AuditRecord {
+            sequence: self.last_sequence,
+            at_ms: draft.at_ms,
+            operator: draft.operator,
+            request: draft.request,
+            action: draft.action,
+            from: draft.from,
+            to: draft.to,
+            changed: draft.changed,
+            chain: String::new(),
+        };
+        record.chain = chain_digest(&self.last_chain, &record);
+        self.last_chain.clone_from(&record.chain);
+        self.records.push_back(record);
+        while self.records.len() > RECORDS_KEPT {
+            self.records.pop_front();
+        }
+    }
+}
+
+/// Returns the digest that a record must carry, from the digest before it; the record's own
+/// digest isn't looked at.
+pub fn chain_digest(previous: &str, record: &AuditRecord) -> String {
+    let bare = AuditRecord {
+        chain: String::new(),
+        ..record.clone()
+    };
+    let bytes = postcard::to_allocvec(&bare).expect("an audit record can be encoded");
+    let mut hasher = Sha256::new();
+    hasher.update(previous.as_bytes());
+    hasher.update(&bytes);
+    hasher
+        .finalize()
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/ledger/claims.rs
@@ -0,0 +1,208 @@
+/*!
+Claims: requests that run at most once, by key.
+
+A claim belongs to a token, which names the one attempt to run the request that an entry made. Only
+the holder of the token may settle the claim or release it. A release that comes before its claim
+leaves a mark, so that the late claim is refused: by then the caller has been told that the request
+did not run.
+*/
+
+use {
+    hemlockspool_model::names::{InstanceName, ServiceName},
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Claims held at most; a new one is refused beyond.
+pub const CLAIMS_MAX: usize = 50_000;
+/// The largest answer body that is kept for resends, in bytes.
+pub const KEPT_ANSWER_BYTES_MAX: usize = 4_096;
+
+/// A caller's key within a service.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ClaimKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The key, as the caller chose it.
+    pub key: String,
+}
+
+/// One entry's one attempt to run a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimToken {
+    /// The entry.
+    pub entry: InstanceName,
+    /// The life of its process.
+    pub incarnation: u64,
+    /// The request within that life.
+    pub request: u64,
+}
+
+/// Asks for a key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimCommand {
+    /// The key.
+    pub key: ClaimKey,
+    /// Who asks.
+    pub token: ClaimToken,
+    /// SHA-256 of kind, path and body.
+    pub digest: [u8; 32],
+    /// For how long the claim is kept, in milliseconds.
+    pub retention_ms: u64,
+}
+
+/// The answer of a request that ran.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SettledAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: Option<String>,
+    /// The body; none when it was too large to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// What a claim came to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ClaimAnswer {
+    /// The token holds the key and may run the request, once.
+    Granted,
+    /// Another token holds the key and hasn't settled.
+    Open,
+    /// The request ran before, with this answer.
+    Settled(SettledAnswer),
+    /// The key was used for something else.
+    KeyReused,
+    /// No room for more claims.
+    Full,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum ClaimStage {
+    Held,
+    Settled(SettledAnswer),
+    Released,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ClaimRecord {
+    token: ClaimToken,
+    digest: [u8; 32],
+    stage: ClaimStage,
+    expires_ms: u64,
+}
+
+/// All claims that are kept.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimBook {
+    records: BTreeMap<ClaimKey, ClaimRecord>,
+    expiry: BTreeSet<(u64, ClaimKey)>,
+}
+
+/// For how long the mark of a release that came before its claim is kept, in milliseconds; far
+/// longer than any message is under way.
+const RELEASE_MARK_MS: u64 = 600_000;
+
+impl ClaimBook {
+    /// Returns the number of claims kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no claims are kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(crate) fn claim(&mut self, now_ms: u64, command: ClaimCommand) -> ClaimAnswer {
+        self.expire(now_ms);
+        if let Some(record) = self.records.get(&command.key) {
+            let same = record.token == command.token;
+            match &record.stage {
+                ClaimStage::Released if same => return ClaimAnswer::Open,
+                ClaimStage::Released => {}
+                _ if record.digest != command.digest => return ClaimAnswer::KeyReused,
+                ClaimStage::Held if same => return ClaimAnswer::Granted,
+                ClaimStage::Held => return ClaimAnswer::Open,
+                ClaimStage::Settled(answer) => return ClaimAnswer::Settled(answer.clone()),
+            }
+        } else if self.records.len() >= CLAIMS_MAX {
+            return ClaimAnswer::Full;
+        }
+        let expires_ms = now_ms.saturating_add(command.retention_ms);
+        let ClaimCommand {
+            key, token, digest, ..
+        } = command;
+        self.insert(
+            key,
+            ClaimRecord {
+                token,
+                digest,
+                stage: ClaimStage::Held,
+                expires_ms,
+            },
+        );
+        ClaimAnswer::Granted
+    }
+
+    pub(crate) fn settle(&mut self, key: &ClaimKey, token: &ClaimToken, answer: SettledAnswer) {
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        if record.token == *token && record.stage == ClaimStage::Held {
+            record.stage = ClaimStage::Settled(answer);
+        }
+    }
+
+    pub(crate) fn release(&mut self, now_ms: u64, key: &ClaimKey, token: &ClaimToken) {
+        let expires_ms = now_ms.saturating_add(RELEASE_MARK_MS);
+        match self.records.get(key) {
+            Some(record) if record.token != *token => {}
+            Some(record) if matches!(record.stage, ClaimStage::Settled(_)) => {}
+            Some(record) => {
+                let digest = record.digest;
+                let stage = ClaimStage::Released;
+                let token = token.clone();
+                self.insert(
+                    key.clone(),
+                    ClaimRecord {
+                        token,
+                        digest,
+                        stage,
+                        expires_ms,
+                    },
+                );
+            }
+            None => {
+                let stage = ClaimStage::Released;
+                let token = token.clone();
+                let record = ClaimRecord {
+                    token,
+                    digest: [0; 32],
+                    stage,
+                    expires_ms,
+                };
+                self.insert(key.clone(), record);
+            }
+        }
+    }
+
+    fn insert(&mut self, key: ClaimKey, record: ClaimRecord) {
+        let expires_ms = record.expires_ms;
+        if let Some(old) = self.records.insert(key.clone(), record) {
+            self.expiry.remove(&(old.expires_ms, key.clone()));
+        }
+        self.expiry.insert((expires_ms, key));
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        while let Some((expires_ms, key)) = self.expiry.first() {
+            if *expires_ms > now_ms {
+                return;
+            }
+            let key = key.clone();
+            self.expiry.pop_first();
+            self.records.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ledger/state.rs
@@ -0,0 +1,234 @@
+/*!
+The whole ledger, and the command that changes it.
+*/
+
+use {
+    crate::{
+        consensus::{MemberSet, ReplicaId, ReplicaMember},
+        ledger::{
+            audit::{AuditDraft, AuditTrail},
+            claims::{ClaimAnswer, ClaimBook, ClaimCommand, ClaimKey, ClaimToken, SettledAnswer},
+            publication::{PublicationBook, PublishCommand},
+            tallies::{TallyBook, TallyReport},
+        },
+    },
+    hemlockspool_model::{
+        api::{AuditAction, PublishAnswer},
+        names::{ConfigVersion, RequestTag},
+        set::ObjectSet,
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+    thiserror::Error,
+};
+
+/// A change of the ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LedgerCommand {
+    /// Publishes a set.
+    Publish(PublishCommand),
+    /// Records a request without a valid token.
+    Unauthorised {
+        /// The request's tag.
+        request: RequestTag,
+    },
+    /// Claims a key.
+    Claim(ClaimCommand),
+    /// Records the answer of a claimed request.
+    Settle {
+        /// The key.
+        key: ClaimKey,
+        /// The claim that ran.
+        token: ClaimToken,
+        /// Its answer.
+        answer: SettledAnswer,
+    },
+    /// Gives a key back: the claim did not run and will not.
+    Release {
+        /// The key.
+        key: ClaimKey,
+        /// The claim that is given up.
+        token: ClaimToken,
+    },
+    /// Reports counts.
+    Tally(TallyReport),
+}
+
+/// What a command came to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LedgerOutcome {
+    /// Of a publication.
+    Published(PublishAnswer),
+    /// Of a claim.
+    Claimed(ClaimAnswer),
+    /// Of anything that is only recorded.
+    Recorded,
+}
+
+/// Why a ledger can't be read.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum LedgerError {
+    /// The bytes aren't an encoded ledger.
+    #[error("the snapshot is not an encoded ledger: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// The ledger.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LedgerState {
+    pub(crate) publications: PublicationBook,
+    pub(crate) audit: AuditTrail,
+    pub(crate) claims: ClaimBook,
+    pub(crate) tallies: TallyBook,
+    clock_ms: u64,
+}
+
+impl LedgerState {
+    /// Reads a ledger from a snapshot; no bytes are an empty ledger.
+    ///
+    /// # Errors
+    ///
+    /// [`LedgerError::Malformed`] for anything that [`LedgerState::encode`] didn't make.
+    pub fn decode(bytes: &[u8]) -> Result<Self, LedgerError> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        Ok(postcard::from_bytes(bytes)?)
+    }
+
+    /// Returns the bytes for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("a ledger has no types that postcard can't encode")
+    }
+
+    /// Returns the version that stands.
+    pub fn version(&self) -> ConfigVersion {
+        self.publications.version
+    }
+
+    /// Returns the set that stands.
+    pub fn set(&self) -> &Arc<ObjectSet> {
+        &self.publications.set
+    }
+
+    /// Returns the audit trail.
+    pub fn audit(&self) -> &AuditTrail {
+        &self.audit
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> &ClaimBook {
+        &self.claims
+    }
+
+    /// Returns the tallies.
+    pub fn tallies(&self) -> &TallyBook {
+        &self.tallies
+    }
+
+    /// Returns the publications.
+    pub fn publications(&self) -> &PublicationBook {
+        &self.publications
+    }
+
+    /// Applies a command that the leader took in at a time in milliseconds since 1970.
+    ///
+    /// The ledger's time never goes back, whatever the leaders' calendars do.
+    pub fn apply(&mut self, at_ms: u64, command: LedgerCommand) -> LedgerOutcome {
+        self.clock_ms = self.clock_ms.max(at_ms);
+        let now_ms = self.clock_ms;
+        match command {
+            LedgerCommand::Publish(command) => {
+                LedgerOutcome::Published(self.publish(now_ms, command))
+            }
+            LedgerCommand::Unauthorised { request } => {
+                self.record_unauthorised(now_ms, request);
+                LedgerOutcome::Recorded
+            }
+            LedgerCommand::Claim(command) => {
+                LedgerOutcome::Claimed(self.claims.claim(now_ms, command))
+            }
+            LedgerCommand::Settle { key, token, answer } => {
+                self.claims.settle(&key, &token, answer);
+                LedgerOutcome::Recorded
+            }
+            LedgerCommand::Release { key, token } => {
+                self.claims.release(now_ms, &key, &token);
+                LedgerOutcome::Recorded
+            }
+            LedgerCommand::Tally(report) => {
+                self.tallies.take_in(report);
+                LedgerOutcome::Recorded
+            }
+        }
+    }
+
+    /// Records a change of the replicas in the audit trail.
+    pub fn record_members(&mut self, members: &MemberSet) {
+        let line = |(id, member): (&ReplicaId, &ReplicaMember)| {
+            let part = if member.voter { "voter" } else { "learner" };
+            format!("{} {part} {id}", member.name)
+        };
+        let changed = members.iter().map(line).collect();
+        let draft = AuditDraft {
+            action: AuditAction::Members,
+            changed,
+            ..self.draft()
+        };
+        self.audit.push(draft);
+    }
+
+    fn publish(&mut self, now_ms: u64, command: PublishCommand) -> PublishAnswer {
+        if let Some(answer) = self.publications.first_answer(&command.request) {
+            return answer.clone();
+        }
+        let from = self.version();
+        let (request, operator) = (command.request.clone(), command.operator.clone());
+        let changed = command
+            .delta
+            .as_ref()
+            .map_or(Vec::new(), |delta| delta.summary());
+        let answer = self.publications.publish(command);
+        let action = match &answer {
+            PublishAnswer::Accepted { .. } => AuditAction::Accepted,
+            PublishAnswer::Faulty { .. } => AuditAction::Faulty,
+            PublishAnswer::Conflict { .. } => AuditAction::Conflict,
+            _ => return answer,
+        };
+        let draft = AuditDraft {
+            at_ms: now_ms,
+            operator,
+            request,
+            action,
+            changed,
+            from,
+            ..self.draft()
+        };
+        self.audit.push(draft);
+        answer
+    }
+
+    fn record_unauthorised(&mut self, now_ms: u64, request: RequestTag) {
+        let action = AuditAction::Unauthorised;
+        let draft = AuditDraft {
+            at_ms: now_ms,
+            request,
+            action,
+            ..self.draft()
+        };
+        self.audit.push(draft);
+    }
+
+    fn draft(&self) -> AuditDraft {
+        let version = self.version();
+        AuditDraft {
+            at_ms: self.clock_ms,
+            operator: None,
+            request: RequestTag::default(),
+            action: AuditAction::Accepted,
+            from: version,
+            to: version,
+            changed: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+/*!
+The decisions of a hemlockspool node, without any I/O.
+
+A node is one state and one reducer: [`NodeState::reduce`](reducer::NodeState::reduce) takes an event
+with a reading of the clocks and returns effects as data. Whatever a node decides (who leads, which
+version is in force, where a request runs, what is refused) is decided in this crate, and can be
+tried there with lost, late, doubled and reordered events.
+
+* [`consensus`] is the replicated log; [`ledger`] is what it decides; [`replica`] joins the two.
+* `submit` carries commands from entries to the leader.
+* [`spread`] brings each version into force everywhere.
+* [`domain`] splits what a failure domain has among its entries; [`caps`] holds the domain's parts.
+* [`steering`] answers look-ups.
+* [`targets`] judges targets; [`requests`] admits, places, retries and ends requests.
+* [`reducer`] routes events to these; [`effect`] is what comes out; [`wire`] is what travels.
+*/
+
+pub mod caps;
+pub mod clock;
+pub mod consensus;
+pub mod domain;
+pub mod effect;
+pub mod identity;
+pub mod ledger;
+pub mod notes;
+pub mod reducer;
+pub mod replica;
+pub mod requests;
+pub mod spread;
+pub mod steering;
+mod submit;
+pub mod targets;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/crates/core/src/replica.rs
@@ -0,0 +1,353 @@
+/*!
+One group at a node: the replicated log with the ledger that it feeds.
+*/
+
+use {
+    crate::{
+        clock::{ClockReading, Moment},
+        consensus::{
+            ConsensusEffect, ConsensusGroup, ConsensusMessage, GroupId, LogEntry, LogPayload,
+            MemberRefusal, ReplicaId, ReplicaMember, RestoredLog,
+        },
+        effect::{DiskEffect, NodeEffect},
+        ledger::{LedgerCommand, LedgerError, LedgerState},
+        notes::NodeNote,
+        wire::{PeerMessage, PeerSender, SubmitAnswer, SubmitId},
+    },
+    hemlockspool_model::{
+        check::{self, CheckFault},
+        names::{ConfigVersion, InstanceName},
+        set::ObjectSet,
+    },
+    rand_pcg::Pcg32,
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// How often a blank replica asks to be taken in.
+const JOIN_EVERY: Duration = Duration::from_millis(500);
+/// For how long a request to join counts as standing.
+const JOIN_STANDS: Duration = Duration::from_secs(3);
+
+/// Where the answer to a command in the log goes.
+#[derive(Clone, Copy, Debug)]
+struct SubmitOrigin {
+    peer: SocketAddr,
+    id: SubmitId,
+}
+
+/// A replica that asks to be taken in.
+#[derive(Clone, Debug)]
+struct JoinAsker {
+    id: ReplicaId,
+    peer: SocketAddr,
+    heard: Moment,
+}
+
+/// One group at a node.
+#[derive(Clone, Debug)]
+pub struct ReplicaNode {
+    id: GroupId,
+    group: ConsensusGroup,
+    ledger: LedgerState,
+    origins: BTreeMap<u64, SubmitOrigin>,
+    askers: BTreeMap<InstanceName, JoinAsker>,
+    /// The index of the last publication applied.
+    published_at: u64,
+    join_due: Moment,
+}
+
+impl ReplicaNode {
+    /// Makes a replica from what was found on disk.
+    ///
+    /// # Errors
+    ///
+    /// [`LedgerError`] when the snapshot isn't a ledger.
+    pub fn restore(
+        id: GroupId,
+        me: ReplicaId,
+        restored: RestoredLog,
+        now: Moment,
+        random: Pcg32,
+    ) -> Result<Self, LedgerError> {
+        let ledger = LedgerState::decode(&restored.image.bytes)?;
+        let group = ConsensusGroup::restore(me, restored, now, random);
+        let mut replica = Self {
+            id,
+            group,
+            ledger,
+            origins: BTreeMap::new(),
+            askers: BTreeMap::new(),
+            published_at: 0,
+            join_due: now,
+        };
+        for entry in replica.group.take_committed() {
+            replica.apply(entry);
+        }
+        Ok(replica)
+    }
+
+    /// Returns the replicated log.
+    pub fn group(&self) -> &ConsensusGroup {
+        &self.group
+    }
+
+    /// Returns the ledger as far as applied.
+    pub fn ledger(&self) -> &LedgerState {
+        &self.ledger
+    }
+
+    /// Returns the version and set that a restart couldn't fall behind; none while the mark of
+    /// their commit is under way to disk.
+    pub fn settled_config(&self) -> Option<(ConfigVersion, &Arc<ObjectSet>)> {
+        let marked = self.published_at <= self.group.commit_marked();
+        let known = !self.group.is_blank();
+        (marked && known).then(|| (self.ledger.version(), self.ledger.set()))
+    }
+
+    pub(crate) fn tick(&mut self, seeds: &[SocketAddr], clock: ClockReading) -> Vec<NodeEffect> {
+        let effects = self.group.tick(clock.now);
+        let mut effects = self.pump(effects);
+        if self.group.is_blank() && clock.now >= self.join_due {
+            self.join_due = clock.now.after(JOIN_EVERY);
+            let message = PeerMessage::Join {
+                group: self.id,
+                id: self.group.me(),
+            };
+            let sends = seeds
+                .iter()
+                .map(|to| NodeEffect::send(*to, message.clone()));
+            effects.extend(sends);
+        }
+        effects
+    }
+
+    pub(crate) fn receive(
+        &mut self,
+        from: ReplicaId,
+        sender: &PeerSender,
+        to: ReplicaId,
+        message: ConsensusMessage,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        if to != self.group.me() {
+            return Vec::new();
+        }
+        let effects = self.group.receive(from, sender.peer, message, now);
+        self.pump(effects)
+    }
+
+    pub(crate) fn persisted(&mut self, ticket: u64, now: Moment) -> Vec<NodeEffect> {
+        let effects = self.group.persisted(ticket, now);
+        self.pump(effects)
+    }
+
+    /// Hears a replica that asks to be taken in. One that replaces an older life of a known
+    /// instance is taken in at once: the older life's disk is gone.
+    pub(crate) fn hear_join(
+        &mut self,
+        id: ReplicaId,
+        sender: &PeerSender,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        let asker = JoinAsker {
+            id,
+            peer: sender.peer,
+            heard: now,
+        };
+        self.askers.insert(sender.name.clone(), asker);
+        let replaces = self
+            .group
+            .members()
+            .values()
+            .any(|member| member.name == sender.name);
+        if !replaces || self.group.members().contains_key(&id) {
+            return Vec::new();
+        }
+        let mut effects = Vec::new();
+        if self.add(&sender.name, now).is_ok() {
+            let note = NodeNote::ReplicaReplaced {
+                name: sender.name.clone(),
+            };
+            effects.push(NodeEffect::Note(note));
+        }
+        let raised = self.group.take_effects();
+        effects.extend(self.pump(raised));
+        effects
+    }
+
+    pub(crate) fn init(
+        &mut self,
+        member: ReplicaMember,
+        now: Moment,
+    ) -> Result<Vec<NodeEffect>, MemberRefusal> {
+        self.group.init(member, now)?;
+        let effects = self.group.take_effects();
+        Ok(self.pump(effects))
+    }
+
+    pub(crate) fn add(&mut self, name: &InstanceName, now: Moment) -> Result<(), MemberRefusal> {
+        if !self.group.is_leader() {
+            return Err(MemberRefusal::NotLeader);
+        }
+        let asker = self
+            .askers
+            .get(name)
+            .filter(|asker| now.since(asker.heard) < JOIN_STANDS);
+        let Some(asker) = asker.cloned() else {
+            let known = self
+                .group
+                .members()
+                .values()
+                .any(|member| member.name == *name);
+            return if known {
+                Ok(())
+            } else {
+                Err(MemberRefusal::NotKnown)
+            };
+        };
+        let member = ReplicaMember {
+            name: name.clone(),
+            peer: asker.peer,
+            voter: false,
+        };
+        self.group.add_learner(asker.id, member, now)
+    }
+
+    pub(crate) fn remove(&mut self, name: &InstanceName, now: Moment) -> Result<(), MemberRefusal> {
+        self.group.remove(name, now)
+    }
+
+    pub(crate) fn hand_over(&mut self) -> Vec<NodeEffect> {
+        self.group.hand_over();
+        self.drain_effects()
+    }
+
+    /// Returns what the last call left to be done.
+    pub(crate) fn drain_effects(&mut self) -> Vec<NodeEffect> {
+        let effects = self.group.take_effects();
+        self.pump(effects)
+    }
+
+    /// Puts a command into the log, or says who leads.
+    pub(crate) fn submit(
+        &mut self,
+        sender: &PeerSender,
+        id: SubmitId,
+        command: LedgerCommand,
+        clock: ClockReading,
+    ) -> Vec<NodeEffect> {
+        let command = self.checked(command);
+        let payload = LogPayload::Command {
+            at_ms: clock.wall_ms,
+            command,
+        };
+        let Some(index) = self.group.propose(payload, clock.now) else {
+            let leader = self.group.leader_peer();
+            let answer = SubmitAnswer::NotLeader { leader };
+            let message = PeerMessage::Submitted { id, answer };
+            return vec![NodeEffect::send(sender.peer, message)];
+        };
+        self.origins.insert(
+            index,
+            SubmitOrigin {
+                peer: sender.peer,
+                id,
+            },
+        );
+        self.drain_effects()
+    }
+
+    /// Checks the set that a publication would lead to, if its base is what stands.
+    fn checked(&self, command: LedgerCommand) -> LedgerCommand {
+        let LedgerCommand::Publish(mut publish) = command else {
+            return command;
+        };
+        let current = publish.base == self.ledger.version();
+        if let (true, Some(delta)) = (current, &publish.delta) {
+            let mut set = ObjectSet::clone(self.ledger.set());
+            delta.apply(&mut set);
+            publish.faults = first_faults(check::faults(&set));
+        }
+        LedgerCommand::Publish(publish)
+    }
+
+    fn pump(&mut self, effects: Vec<ConsensusEffect>) -> Vec<NodeEffect> {
+        let mut out: Vec<NodeEffect> = Vec::new();
+        self.translate(effects, &mut out);
+        if let Some(image) = self.group.take_installed() {
+            // A snapshot that can't be read stops this replica at its old state; it is sent again.
+            if let Ok(ledger) = LedgerState::decode(&image.bytes) {
+                self.ledger = ledger;
+                self.published_at = image.meta.last.index;
+            }
+        }
+        let before = self.published_at;
+        for entry in self.group.take_committed() {
+            out.extend(self.apply(entry));
+        }
+        if self.published_at > before {
+            let marks = self.group.mark_commit();
+            self.translate(marks, &mut out);
+        }
+        if self.group.wants_snapshot() {
+            let snapshot = self.group.take_snapshot(self.ledger.encode());
+            self.translate(snapshot, &mut out);
+        }
+        out
+    }
+
+    fn translate(&self, effects: Vec<ConsensusEffect>, out: &mut Vec<NodeEffect>) {
+        let group = self.id;
+        let from = self.group.me();
+        out.extend(effects.into_iter().map(|effect| match effect {
+            ConsensusEffect::Send { peer, to, message } => NodeEffect::send(
+                peer,
+                PeerMessage::Consensus {
+                    group,
+                    from,
+                    to,
+                    message,
+                },
+            ),
+            ConsensusEffect::Persist { ticket, batch } => NodeEffect::Disk(DiskEffect {
+                group,
+                ticket,
+                batch,
+            }),
+            ConsensusEffect::Note(note) => NodeEffect::Note(note),
+        }));
+    }
+
+    fn apply(&mut self, entry: LogEntry) -> Option<NodeEffect> {
+        let index = entry.position.index;
+        match entry.payload {
+            LogPayload::Noop => None,
+            LogPayload::Members(members) => {
+                self.ledger.record_members(&members);
+                None
+            }
+            LogPayload::Command { at_ms, command } => {
+                let before = self.ledger.version();
+                let outcome = self.ledger.apply(at_ms, command);
+                if self.ledger.version() > before {
+                    self.published_at = index;
+                }
+                let origin = self.origins.remove(&index)?;
+                let answer = SubmitAnswer::Done(outcome);
+                let message = PeerMessage::Submitted {
+                    id: origin.id,
+                    answer,
+                };
+                Some(NodeEffect::send(origin.peer, message))
+            }
+        }
+    }
+}
+
+/// Faults carried in one answer.
+const FAULTS_MAX: usize = 200;
+
+fn first_faults(mut faults: Vec<CheckFault>) -> Vec<CheckFault> {
+    faults.truncate(FAULTS_MAX);
+    faults
+}
--- /dev/null
+++ b/crates/core/src/requests/place.rs
@@ -0,0 +1,388 @@
+/*!
+Where a request runs: a target here, an entry elsewhere, the queue, or nowhere.
+
+A decision reserves what it uses before it acts, so that no two decisions count on the same slot.
+Work for other failure domains goes through their entries: slots are counted where they are spent.
+*/
+
+use {
+    super::{
+        book::{OpenRequest, RequestBook, RequestContext, RequestStage},
+        limits::LINK_BACKLOG_MAX,
+        types::{AttemptPlace, RequestId},
+    },
+    crate::{effect::NodeEffect, steering::caller_hash},
+    hemlockspool_model::{
+        api::{RefusalReason, RunOutcome},
+        names::{DomainName, LinkName, ServiceName},
+        objects::{EntryObject, LimitResource},
+    },
+    std::{cmp::Reverse, time::Duration},
+};
+
+/// Requests that may wait for each slot.
+const WAITING_PER_SLOT: usize = 2;
+/// The longest wait for a slot.
+const WAIT_MAX: Duration = Duration::from_secs(1);
+/// What passing a request on costs within the region.
+const NEAR_COST: Duration = Duration::from_millis(4);
+/// What passing a request on to another region costs.
+const FAR_COST: Duration = Duration::from_millis(60);
+
+/// An entry of another failure domain that may take a request.
+struct RemoteOption {
+    entry: EntryObject,
+    link: Option<LinkName>,
+    cost: Duration,
+}
+
+impl RequestBook {
+    /// Decides on a request that has what it needs to run.
+    pub(super) fn place(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
+        let Some(request) = self.open.get(&id).cloned() else {
+            return Vec::new();
+        };
+        let left = request.deadline_at.since(ctx.clock.now);
+        let needed = self.kind_time(&request).unwrap_or_default();
+        if left.is_zero() || left < needed / 2 {
+            return self.refuse_unrun(id, RefusalReason::DeadlineTooShort, None, ctx);
+        }
+        let service = request.intake.service.clone();
+        let waiting = self.queues.get(&service).map_or(0, |queue| queue.len());
+        if waiting == 0
+            && let Some(effect) = self.run_here(id, ctx)
+        {
+            return vec![effect];
+        }
+        let wait = self.expected_wait(&service, waiting, ctx);
+        let wait =
+            wait.filter(|wait| self.may_wait(&request, *wait, left.saturating_sub(needed), ctx));
+        let remote = self.remote_option(&request, ctx);
+        match (wait, remote) {
+            (Some(wait), Some(remote)) if wait > remote.cost => self.run_there(id, remote, ctx),
+            (Some(_), _) => self.wait_here(id, ctx),
+            (None, Some(remote)) => self.run_there(id, remote, ctx),
+            (None, None) => {
+                let (reason, retry_after) = self.why_nowhere(&request, ctx);
+                self.refuse_unrun(id, reason, Some(retry_after), ctx)
+            }
+        }
+    }
+
+    /// Serves waiting requests as far as slots are free, and ends those that waited too long.
+    pub(crate) fn serve_queues(&mut self, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
+        let mut effects = Vec::new();
+        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
+        for service in services {
+            effects.extend(self.serve_queue(&service, ctx));
+        }
+        effects
+    }
+
+    fn serve_queue(
+        &mut self,
+        service: &ServiceName,
+        ctx: &mut RequestContext<'_>,
+    ) -> Vec<NodeEffect> {
+        let mut effects = Vec::new();
+        while let Some(id) = self.queues.get_mut(service).and_then(|queue| queue.pop()) {
+            if let Some(effect) = self.run_here(id, ctx) {
+                effects.push(effect);
+                continue;
+            }
+            let Some(request) = self.open.get(&id) else {
+                continue;
+            };
+            let (kind, caller) = (request.intake.kind.clone(), request.caller.clone());
+            if let Some(queue) = self.queues.get_mut(service) {
+                queue.push_front(&kind, &caller, id);
+            }
+            break;
+        }
+        if self
+            .queues
+            .get(service)
+            .is_some_and(|queue| queue.len() == 0)
+        {
+            self.queues.remove(service);
+        }
+        effects
+    }
+
+    /// Ends waiting requests whose time can't be kept any more.
+    pub(crate) fn expire_queues(&mut self, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
+        let ids: Vec<RequestId> = self.queues.values().flat_map(|queue| queue.ids()).collect();
+        let mut effects = Vec::new();
+        for id in ids {
+            let Some(request) = self.open.get(&id) else {
+                continue;
+            };
+            let RequestStage::Queued { since } = request.stage else {
+                continue;
+            };
+            let needed = self.kind_time(request).unwrap_or_default();
+            let late = ctx.clock.now.after(needed / 2) > request.deadline_at;
+            if !late && ctx.clock.now.since(since) < WAIT_MAX {
+                continue;
+            }
+            let reason = if late {
+                RefusalReason::DeadlineTooShort
+            } else {
+                RefusalReason::Overloaded
+            };
+            if let Some(queue) = self.queues.get_mut(&request.intake.service.clone()) {
+                queue.remove(id);
+            }
+            effects.extend(self.refuse_unrun(id, reason, None, ctx));
+        }
+        effects
+    }
+
+    /// Refuses a caller that has more under way than a limit object allows it here.
+    pub(super) fn check_caller(
+        &self,
+        request: &OpenRequest,
+        ctx: &RequestContext<'_>,
+    ) -> Result<(), RefusalReason> {
+        let resource = LimitResource::Caller(request.caller.clone());
+        let Some(ceiling) = ctx.config.set().ceiling(&resource) else {
+            return Ok(());
+        };
+        let running = self.by_caller.get(&request.caller).copied().unwrap_or(0);
+        let waiting: usize = self
+            .queues
+            .values()
+            .map(|q| q.caller_len(&request.caller))
+            .sum();
+        let own = u64::from(running) + waiting as u64;
+        let salt = caller_hash(request.intake.caller);
+        if own < ctx.share.of(ceiling, salt) {
+            Ok(())
+        } else {
+            Err(RefusalReason::CallerOverShare)
+        }
+    }
+
+    fn run_here(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Option<NodeEffect> {
+        if !self.region_has_room(ctx) || !self.shift_has_room(id, ctx) {
+            return None;
+        }
+        let request = self.open.get(&id)?;
+        let (service, tried) = (request.intake.service.clone(), request.tried.clone());
+        let now = ctx.clock.now;
+        let target = ctx
+            .targets
+            .choose(&service, &tried, ctx.share, ctx.random, now)?;
+        self.count_shift(id, ctx);
+        let place = AttemptPlace::Local {
+            target: target.name,
+        };
+        self.start(id, place, target.address, ctx)
+    }
+
+    fn run_there(
+        &mut self,
+        id: RequestId,
+        remote: RemoteOption,
+        ctx: &mut RequestContext<'_>,
+    ) -> Vec<NodeEffect> {
+        self.counts.forwarded += 1;
+        let RemoteOption { entry, link, .. } = remote;
+        let place = AttemptPlace::Remote {
+            entry: entry.name,
+            link,
+        };
+        self.start(id, place, entry.http, ctx).into_iter().collect()
+    }
+
+    fn wait_here(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
+        let Some(request) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        request.stage = RequestStage::Queued {
+            since: ctx.clock.now,
+        };
+        let queue = self
+            .queues
+            .entry(request.intake.service.clone())
+            .or_default();
+        queue.push(
+            &request.intake.kind,
+            request.policy.weight,
+            &request.caller,
+            id,
+        );
+        Vec::new()
+    }
+
+    fn refuse_unrun(
+        &mut self,
+        id: RequestId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        ctx: &mut RequestContext<'_>,
+    ) -> Vec<NodeEffect> {
+        self.give_up(id, reason, RunOutcome::NotRun, retry_after, ctx)
+    }
+
+    fn region_has_room(&self, ctx: &RequestContext<'_>) -> bool {
+        let Some(part) = ctx.caps.in_flight else {
+            return true;
+        };
+        ctx.targets.total_in_flight() < ctx.share.of(part, 0)
+    }
+
+    /// Tells whether the shift cap lets a caller from elsewhere in, without counting it.
+    fn shift_has_room(&mut self, id: RequestId, ctx: &RequestContext<'_>) -> bool {
+        let Some(request) = self.open.get(&id) else {
+            return false;
+        };
+        let Some(ceiling) = ctx.caps.entry_shift else {
+            return true;
+        };
+        if !request.foreign || request.shift_counted {
+            return true;
+        }
+        self.shift.has_room(ceiling, ctx.caps.window, ctx.clock.now)
+    }
+
+    fn count_shift(&mut self, id: RequestId, ctx: &RequestContext<'_>) {
+        let Some(request) = self.open.get_mut(&id) else {
+            return;
+        };
+        if request.foreign && !request.shift_counted && ctx.caps.entry_shift.is_some() {
+            request.shift_counted = true;
+            self.shift.count(ctx.caps.window, ctx.clock.now);
+        }
+    }
+
+    fn expected_wait(
+        &self,
+        service: &ServiceName,
+        waiting: usize,
+        ctx: &RequestContext<'_>,
+    ) -> Option<Duration> {
+        let slots = ctx.targets.usable_slots(service, ctx.share, ctx.clock.now);
+        let full = waiting >= slots as usize * WAITING_PER_SLOT;
+        if slots == 0 || full {
+            return None;
+        }
+        let turns = (waiting + 1) as f64 / f64::from(slots);
+        Some(ctx.targets.service_time(service).mul_f64(turns))
+    }
+
+    fn may_wait(
+        &mut self,
+        request: &OpenRequest,
+        wait: Duration,
+        spare: Duration,
+        ctx: &RequestContext<'_>,
+    ) -> bool {
+        let service = &request.intake.service;
+        let slots = ctx.targets.usable_slots(service, ctx.share, ctx.clock.now) as usize;
+        let fair = self.queues.get(service).is_none_or(|queue| {
+            let own = queue.caller_len(&request.caller);
+            let others = queue.callers() + usize::from(own == 0);
+            own < (slots * WAITING_PER_SLOT).div_ceil(others.max(1))
+        });
+        fair && wait <= spare && wait <= WAIT_MAX && self.shift_has_room(request.intake.id, ctx)
+    }
+
+    fn remote_option(
+        &self,
+        request: &OpenRequest,
+        ctx: &RequestContext<'_>,
+    ) -> Option<RemoteOption> {
+        if request.intake.forwarded {
+            return None;
+        }
+        let service = &request.intake.service;
+        let domains = ctx.caps.service_domains.get(service)?;
+        let mut open: Vec<&DomainName> = (domains.iter())
+            .filter(|domain| **domain != ctx.identity.domain)
+            .filter(|domain| !request.tried_domains.contains(domain))
+            .filter(|domain| !self.is_paused(domain, service, ctx))
+            .collect();
+        let set = ctx.config.set();
+        let near = |domain: &DomainName| set.region_of(domain) == Some(&ctx.caps.region);
+        let spread = |domain: &DomainName| {
+            crate::util::stable_hash(domain.as_str().as_bytes()) ^ request.intake.id.0
+        };
+        open.sort_by_key(|domain| {
+            let home = request.foreign && request.home.as_ref() == Some(domain);
+            (Reverse(home), Reverse(near(domain)), spread(domain))
+        });
+        open.into_iter()
+            .find_map(|domain| self.entry_in(domain, near(domain), request, ctx))
+    }
+
+    fn is_paused(
+        &self,
+        domain: &DomainName,
+        service: &ServiceName,
+        ctx: &RequestContext<'_>,
+    ) -> bool {
+        let until = self.remote_paused.get(&(domain.clone(), service.clone()));
+        until.is_some_and(|until| ctx.clock.now < *until)
+    }
+
+    fn entry_in(
+        &self,
+        domain: &DomainName,
+        near: bool,
+        request: &OpenRequest,
+        ctx: &RequestContext<'_>,
+    ) -> Option<RemoteOption> {
+        let set = ctx.config.set();
+        let serves = |line: &hemlockspool_model::api::LookupEntry| {
+            line.domain == *domain && !ctx.config.is_absent(&line.name)
+        };
+        let first = ctx
+            .index
+            .answer(domain, request.intake.caller, serves)
+            .into_iter()
+            .next()?;
+        if first.domain != *domain {
+            return None;
+        }
+        let entry = set.entries.get(&first.name)?.clone();
+        if near {
+            return Some(RemoteOption {
+                entry,
+                link: None,
+                cost: NEAR_COST,
+            });
+        }
+        let region = set.region_of(domain)?;
+        let link = ctx.caps.links.get(region).map(|part| part.link.clone());
+        let free = link.as_ref().is_none_or(|link| {
+            let pacer = self.links.get(link);
+            pacer.is_none_or(|pacer| pacer.backlog(ctx.clock.now) < LINK_BACKLOG_MAX)
+        });
+        free.then_some(RemoteOption {
+            entry,
+            link,
+            cost: FAR_COST,
+        })
+    }
+
+    fn why_nowhere(
+        &mut self,
+        request: &OpenRequest,
+        ctx: &RequestContext<'_>,
+    ) -> (RefusalReason, Duration) {
+        let service = &request.intake.service;
+        if !self.shift_has_room(request.intake.id, ctx) {
+            return (RefusalReason::ShiftCap, ctx.caps.window / 2);
+        }
+        let slots = ctx.targets.usable_slots(service, ctx.share, ctx.clock.now);
+        if slots == 0 {
+            return (RefusalReason::NoTarget, Duration::from_secs(1));
+        }
+        let wait = ctx.targets.service_time(service) * WAITING_PER_SLOT as u32;
+        (
+            RefusalReason::Overloaded,
+            wait.max(Duration::from_millis(50)),
+        )
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,190 @@
+/*!
+Messages between instances.
+
+Each message is one-way, may be lost, late, doubled or out of order, and travels in an envelope that
+names the deployment, the sender's life and the format. An instance drops what is of another
+deployment or format.
+*/
+
+use {
+    crate::{
+        consensus::{ConsensusMessage, GroupId, ReplicaId},
+        ledger::{LedgerCommand, LedgerOutcome, VersionStep},
+    },
+    hemlockspool_model::{
+        names::{ConfigVersion, InstanceName},
+        set::ObjectSet,
+    },
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+    thiserror::Error,
+};
+
+/// The format of every message; instances of different formats don't talk to each other.
+pub const WIRE_FORMAT: u16 = 1;
+
+/// A message with what its receiver must know of the sender.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerEnvelope {
+    /// The format.
+    pub format: u16,
+    /// The deployment.
+    pub deployment: String,
+    /// Who sends.
+    pub sender: PeerSender,
+    /// What it says.
+    pub message: PeerMessage,
+}
+
+/// The sender of a message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerSender {
+    /// Its name.
+    pub name: InstanceName,
+    /// The life of its process.
+    pub incarnation: u64,
+    /// Where it listens for answers.
+    pub peer: SocketAddr,
+}
+
+/// One command that an instance wants in the log, told apart from its others.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SubmitId(pub u64);
+
+/// What a replica answers to a submitted command.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SubmitAnswer {
+    /// It is committed, and came to this.
+    Done(LedgerOutcome),
+    /// This replica doesn't lead.
+    NotLeader {
+        /// Where the leader listens, if known.
+        leader: Option<SocketAddr>,
+    },
+}
+
+/// The version in force at one entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryReport {
+    /// The entry.
+    pub name: InstanceName,
+    /// Its version.
+    pub version: ConfigVersion,
+    /// How old the report is.
+    pub age: Duration,
+    /// Whether the entry is stopping.
+    pub leaving: bool,
+}
+
+/// What goes with every answer to a poll.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfirmNotice {
+    /// How long ago a quorum confirmed the version that the answer leads to.
+    pub age: Option<Duration>,
+    /// Entries that the leader doesn't hear of, or that are stopping.
+    pub absent: Vec<InstanceName>,
+}
+
+/// A message between instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// Between replicas of a group.
+    Consensus {
+        /// The group.
+        group: GroupId,
+        /// The sender's life of its data folder.
+        from: ReplicaId,
+        /// The life of the data folder that is meant.
+        to: ReplicaId,
+        /// The message.
+        message: ConsensusMessage,
+    },
+    /// A blank replica asks to be taken in.
+    Join {
+        /// The group.
+        group: GroupId,
+        /// The life of its data folder.
+        id: ReplicaId,
+    },
+    /// Asks for a command to be put into the log.
+    Submit {
+        /// The group.
+        group: GroupId,
+        /// The sender's number for it.
+        id: SubmitId,
+        /// The command.
+        command: LedgerCommand,
+    },
+    /// Answers a submit.
+    Submitted {
+        /// The number.
+        id: SubmitId,
+        /// The answer.
+        answer: SubmitAnswer,
+    },
+    /// Asks for whatever is newer than a version.
+    ConfigPoll {
+        /// What the sender has.
+        have: ConfigVersion,
+        /// The versions at the sender and below it.
+        reports: Vec<EntryReport>,
+    },
+    /// Steps that lead from a version to the sender's.
+    ConfigSteps {
+        /// Where they start.
+        from: ConfigVersion,
+        /// The steps; none when the receiver has the sender's version.
+        steps: Vec<VersionStep>,
+        /// Confirmation of the last of them.
+        notice: ConfirmNotice,
+    },
+    /// A whole set.
+    ConfigWhole {
+        /// Its version.
+        version: ConfigVersion,
+        /// The set.
+        set: ObjectSet,
+        /// Confirmation of the version.
+        notice: ConfirmNotice,
+    },
+    /// Tells the entries of a failure domain that the sender serves.
+    Pulse {
+        /// Whom the sender hears, itself included.
+        hears: Vec<InstanceName>,
+        /// Whether the sender has a data folder.
+        replica: bool,
+        /// Whether it is stopping.
+        leaving: bool,
+    },
+}
+
+/// Why bytes aren't a message.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum WireError {
+    /// They don't decode.
+    #[error("not a message of this system: {0}")]
+    Malformed(#[from] postcard::Error),
+    /// They are of another format.
+    #[error("format {0} is not known here")]
+    Format(u16),
+}
+
+impl PeerEnvelope {
+    /// Returns the bytes of the envelope.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("a message has no types that postcard can't encode")
+    }
+
+    /// Reads an envelope.
+    ///
+    /// # Errors
+    ///
+    /// See [`WireError`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let (format, _) = postcard::take_from_bytes::<u16>(bytes)?;
+        if format != WIRE_FORMAT {
+            return Err(WireError::Format(format));
+        }
+        Ok(postcard::from_bytes(bytes)?)
+    }
+}
--- /dev/null
+++ b/crates/model/src/names.rs
@@ -0,0 +1,80 @@
+/*!
+One name type for each kind of object.
+
+Distinct types keep a region's name from being passed where a domain's is wanted; all of them are
+plain text on the wire.
+*/
+
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+macro_rules! name_type {
+    ($type:ident, $what:literal) => {
+        #[doc = concat!("The name of ", $what, ".")]
+        #[derive(
+            Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+        )]
+        pub struct $type(String);
+
+        impl $type {
+            /// Makes a name from its text.
+            pub fn new(text: &str) -> Self {
+                Self(text.to_owned())
+            }
+
+            /// Returns the text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $type {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(RegionName, "a region");
+name_type!(DomainName, "a failure domain");
+name_type!(InstanceName, "an instance of this system");
+name_type!(LinkName, "a link between two regions");
+name_type!(ServiceName, "a service");
+name_type!(KindName, "a kind of request within a service");
+name_type!(TargetName, "a target");
+name_type!(LimitName, "a limit");
+name_type!(DrainName, "a planned drain");
+name_type!(CallerName, "a caller");
+name_type!(OperatorName, "an operator");
+name_type!(
+    RequestTag,
+    "one operator request, chosen by its sender and kept across resends"
+);
+
+/// The version of a published set; it starts at zero and rises by one with each publication.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct ConfigVersion(pub u64);
+
+impl ConfigVersion {
+    /// Returns the version that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/model/src/set.rs
@@ -0,0 +1,183 @@
+/*!
+The whole of the declared objects at one version.
+
+Blocks are ordered by prefix and must not overlap, so that the block of an address is the last one
+that starts at or before it: one ordered look-up, whatever the number of blocks.
+*/
+
+use {
+    crate::{
+        names::{
+            DomainName, DrainName, InstanceName, LimitName, LinkName, RegionName, ServiceName,
+            TargetName,
+        },
+        objects::{
+            BlockObject, DeclaredObject, DomainObject, DrainObject, DrainSubject, EntryObject,
+            LimitObject, LimitResource, LinkObject, ObjectKey, RegionObject, ServiceObject,
+            TargetObject,
+        },
+    },
+    ipnet::IpNet,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::IpAddr},
+};
+
+/// All declared objects, by type and name.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObjectSet {
+    /// Regions by name.
+    pub regions: BTreeMap<RegionName, RegionObject>,
+    /// Failure domains by name.
+    pub domains: BTreeMap<DomainName, DomainObject>,
+    /// Links by name.
+    pub links: BTreeMap<LinkName, LinkObject>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceObject>,
+    /// Targets by name.
+    pub targets: BTreeMap<TargetName, TargetObject>,
+    /// Entry instances by name.
+    pub entries: BTreeMap<InstanceName, EntryObject>,
+    /// Limits by name.
+    pub limits: BTreeMap<LimitName, LimitObject>,
+    /// Drains by name.
+    pub drains: BTreeMap<DrainName, DrainObject>,
+    /// Caller blocks by prefix.
+    pub blocks: BTreeMap<IpNet, BlockObject>,
+}
+
+impl ObjectSet {
+    /// Puts an object in, and returns the one of the same identity that it replaces.
+    pub fn upsert(&mut self, object: DeclaredObject) -> Option<DeclaredObject> {
+        use DeclaredObject as D;
+        match object {
+            D::Region(o) => self.regions.insert(o.name.clone(), o).map(D::Region),
+            D::FailureDomain(o) => self.domains.insert(o.name.clone(), o).map(D::FailureDomain),
+            D::Link(o) => self.links.insert(o.name.clone(), o).map(D::Link),
+            D::Service(o) => self.services.insert(o.name.clone(), o).map(D::Service),
+            D::Target(o) => self.targets.insert(o.name.clone(), o).map(D::Target),
+            D::Entry(o) => self.entries.insert(o.name.clone(), o).map(D::Entry),
+            D::Limit(o) => self.limits.insert(o.name.clone(), o).map(D::Limit),
+            D::Drain(o) => self.drains.insert(o.name.clone(), o).map(D::Drain),
+            D::CallerBlock(mut o) => {
+                o.prefix = o.prefix.trunc();
+                self.blocks.insert(o.prefix, o).map(D::CallerBlock)
+            }
+        }
+    }
+
+    /// Takes an object out, if it is there.
+    pub fn remove(&mut self, key: &ObjectKey) -> Option<DeclaredObject> {
+        use DeclaredObject as D;
+        match key {
+            ObjectKey::Region(name) => self.regions.remove(name).map(D::Region),
+            ObjectKey::FailureDomain(name) => self.domains.remove(name).map(D::FailureDomain),
+            ObjectKey::Link(name) => self.links.remove(name).map(D::Link),
+            ObjectKey::Service(name) => self.services.remove(name).map(D::Service),
+            ObjectKey::Target(name) => self.targets.remove(name).map(D::Target),
+            ObjectKey::Entry(name) => self.entries.remove(name).map(D::Entry),
+            ObjectKey::Limit(name) => self.limits.remove(name).map(D::Limit),
+            ObjectKey::Drain(name) => self.drains.remove(name).map(D::Drain),
+            ObjectKey::CallerBlock(prefix) => self.blocks.remove(prefix).map(D::CallerBlock),
+        }
+    }
+
+    /// Returns a copy of every object, ordered by type and name.
+    pub fn objects(&self) -> Vec<DeclaredObject> {
+        use DeclaredObject as D;
+        let mut all = Vec::with_capacity(self.len());
+        all.extend(self.regions.values().cloned().map(D::Region));
+        all.extend(self.domains.values().cloned().map(D::FailureDomain));
+        all.extend(self.links.values().cloned().map(D::Link));
+        all.extend(self.services.values().cloned().map(D::Service));
+        all.extend(self.targets.values().cloned().map(D::Target));
+        all.extend(self.entries.values().cloned().map(D::Entry));
+        all.extend(self.limits.values().cloned().map(D::Limit));
+        all.extend(self.drains.values().cloned().map(D::Drain));
+        all.extend(self.blocks.values().cloned().map(D::CallerBlock));
+        all
+    }
+
+    /// Returns the number of objects.
+    pub fn len(&self) -> usize {
+        self.regions.len()
+            + self.domains.len()
+            + self.links.len()
+            + self.services.len()
+            + self.targets.len()
+            + self.entries.len()
+            + self.limits.len()
+            + self.drains.len()
+            + self.blocks.len()
+    }
+
+    /// Tells whether nothing is declared.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the region of a failure domain.
+    pub fn region_of(&self, domain: &DomainName) -> Option<&RegionName> {
+        self.domains.get(domain).map(|object| &object.region)
+    }
+
+    /// Returns the block that an address falls into.
+    pub fn block_of(&self, address: IpAddr) -> Option<&BlockObject> {
+        let upper = IpNet::from(address);
+        let (prefix, block) = self.blocks.range(..=upper).next_back()?;
+        prefix.contains(&address).then_some(block)
+    }
+
+    /// Tells whether a drain stands on a subject itself, not on what holds it.
+    pub fn has_drain(&self, subject: &DrainSubject) -> bool {
+        self.drains.values().any(|drain| drain.subject == *subject)
+    }
+
+    /// Tells whether a failure domain is drained, by itself or with its region.
+    pub fn domain_drained(&self, domain: &DomainName) -> bool {
+        if self.drains.is_empty() {
+            return false;
+        }
+        let own = self.has_drain(&DrainSubject::FailureDomain(domain.clone()));
+        let region = self.region_of(domain).cloned();
+        own || region.is_some_and(|name| self.has_drain(&DrainSubject::Region(name)))
+    }
+
+    /// Tells whether a target is drained, by itself or with what holds it.
+    pub fn target_drained(&self, target: &TargetObject) -> bool {
+        self.has_drain(&DrainSubject::Target(target.name.clone()))
+            || self.domain_drained(&target.domain)
+    }
+
+    /// Tells whether an entry is drained, by itself or with what holds it.
+    pub fn entry_drained(&self, entry: &EntryObject) -> bool {
+        self.has_drain(&DrainSubject::Entry(entry.name.clone()))
+            || self.domain_drained(&entry.domain)
+    }
+
+    /// Returns the lowest ceiling declared for a resource, in its unit.
+    pub fn ceiling(&self, resource: &LimitResource) -> Option<u64> {
+        let matching = self
+            .limits
+            .values()
+            .filter(|limit| limit.resource == *resource);
+        matching.map(|limit| limit.ceiling).min()
+    }
+
+    /// Returns the slots of all targets in a region, drained ones included.
+    pub fn region_slots(&self, region: &RegionName) -> u64 {
+        let here = self
+            .targets
+            .values()
+            .filter(|t| self.region_of(&t.domain) == Some(region));
+        here.map(|target| u64::from(target.slots)).sum()
+    }
+
+    /// Returns the slots of all targets in a failure domain, drained ones included.
+    pub fn domain_slots(&self, domain: &DomainName) -> u64 {
+        let here = self
+            .targets
+            .values()
+            .filter(|target| target.domain == *domain);
+        here.map(|target| u64::from(target.slots)).sum()
+    }
+}
--- /dev/null
+++ b/crates/node/src/carriage/answer.rs
@@ -0,0 +1,154 @@
+/*!
+Answers to callers.
+*/
+
+use {
+    super::attempt::AnswerHead,
+    crate::shell::NodeShell,
+    bytes::Bytes,
+    futures_util::{Stream, StreamExt},
+    hemlockspool_core::{
+        ledger::SettledAnswer,
+        reducer::NodeEvent,
+        requests::{AttemptResult, RequestEvent, RequestId},
+    },
+    hemlockspool_model::api::{
+        ENTRY_HEADER, OUTCOME_HEADER, RefusalBody, RefusalReason, RunOutcome, TARGET_HEADER,
+        VERSION_HEADER,
+    },
+    poem::{
+        Body, Response,
+        http::{StatusCode, header},
+    },
+    std::{
+        io,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+};
+
+/// Ends a request at the reducer when nobody waits for it any more.
+pub(crate) struct RequestGuard {
+    pub shell: Arc<NodeShell>,
+    pub id: RequestId,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.shell.close_request(self.id);
+    }
+}
+
+/// An answer that is passed on as it comes; it tells the reducer how it ended.
+pub(crate) struct WatchedStream<S> {
+    pub inner: Pin<Box<S>>,
+    pub guard: RequestGuard,
+    pub attempt: u32,
+    /// What the reducer is told at a good end.
+    pub whole: Option<AttemptResult>,
+}
+
+impl<S> Stream for WatchedStream<S>
+where
+    S: Stream<Item = io::Result<Bytes>>,
+{
+    type Item = io::Result<Bytes>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let next = self.inner.poll_next_unpin(cx);
+        let result = match &next {
+            Poll::Ready(None) => self.whole.take(),
+            Poll::Ready(Some(Err(_))) => self.whole.take().map(|_| AttemptResult::Cut),
+            _ => None,
+        };
+        if let Some(result) = result {
+            let (id, attempt) = (self.guard.id, self.attempt);
+            let event = RequestEvent::AttemptEnded {
+                id,
+                attempt,
+                result,
+            };
+            self.guard.shell.apply(NodeEvent::Request(event));
+        }
+        next
+    }
+}
+
+/// Returns the answer for a request that ran.
+pub(crate) fn ran(shell: &NodeShell, head: AnswerHead, body: Body) -> Response {
+    let mut response = Response::builder().status(head.status).body(body);
+    response.headers_mut().extend(head.headers);
+    if let Some(size) = head.size {
+        response
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, size.into());
+    }
+    if let Some(target) = head.target.and_then(|name| name.parse().ok()) {
+        response.headers_mut().insert(TARGET_HEADER, target);
+    }
+    mark(shell, &mut response, RunOutcome::Ran);
+    response
+}
+
+/// Returns the answer that was recorded when the request ran.
+pub(crate) fn replayed(shell: &NodeShell, answer: SettledAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let mut response = Response::builder().status(status);
+    if let Some(content_type) = answer.content_type {
+        response = response.header(header::CONTENT_TYPE, content_type);
+    }
+    let mut response = response.body(answer.body.unwrap_or_default());
+    mark(shell, &mut response, RunOutcome::Ran);
+    response
+}
+
+/// Returns the answer for a request that was given up.
+pub(crate) fn refused(shell: &NodeShell, body: &RefusalBody) -> Response {
+    let seconds = body.retry_after_ms.div_ceil(1_000).max(1);
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::builder()
+        .status(status_of(body))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::RETRY_AFTER, seconds.to_string())
+        .body(text);
+    mark(shell, &mut response, body.outcome);
+    response
+}
+
+fn mark(shell: &NodeShell, response: &mut Response, outcome: RunOutcome) {
+    let version = shell.read(|state, _| state.config().held());
+    let name = shell.settings.name.as_str();
+    let headers = response.headers_mut();
+    if let Ok(value) = outcome.as_str().parse() {
+        headers.insert(OUTCOME_HEADER, value);
+    }
+    if let Ok(value) = version.to_string().parse() {
+        headers.insert(VERSION_HEADER, value);
+    }
+    if let Ok(value) = name.parse() {
+        headers.insert(ENTRY_HEADER, value);
+    }
+}
+
+fn status_of(body: &RefusalBody) -> StatusCode {
+    use RefusalReason as R;
+    match body.reason {
+        R::NoSuchKind => StatusCode::NOT_FOUND,
+        R::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        R::KeyMissing => StatusCode::BAD_REQUEST,
+        R::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        R::ClaimOpen => StatusCode::CONFLICT,
+        R::CallerOverShare => StatusCode::TOO_MANY_REQUESTS,
+        R::DeadlineTooShort => StatusCode::GATEWAY_TIMEOUT,
+        R::AttemptFailed => StatusCode::BAD_GATEWAY,
+        R::NoConfiguration
+        | R::Overloaded
+        | R::NoTarget
+        | R::ShiftCap
+        | R::LinkCap
+        | R::NoQuorum
+        | R::ClaimsFull
+        | R::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/cluster.rs
@@ -0,0 +1,586 @@
+/*!
+A cluster of real daemons on loopback.
+
+Every daemon dials every other through a fault proxy of its own, so that any pair can be delayed or
+cut, one way or both.
+*/
+
+use {
+    crate::{
+        fault_proxy::FaultProxy,
+        stand_in::{StandPlan, StandServer},
+    },
+    hemlockspool_model::{
+        api::{ConfigAnswer, PublishAnswer, PublishBody, ReplicaAnswer, ReplicaBody, StatusAnswer},
+        names::{ConfigVersion, RequestTag},
+        objects::{
+            DeclaredObject, DomainObject, EntryObject, KindPolicy, LinkObject, RegionObject,
+            RepeatRule, ServiceObject, TargetObject,
+        },
+    },
+    reqwest::Client,
+    serde_json::json,
+    sha2::{Digest, Sha256},
+    std::{
+        cell::Cell,
+        collections::BTreeMap,
+        fs::{self, File},
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::time::{Instant, sleep},
+};
+
+pub const TOKEN: &str = "operator-token";
+pub const PEER_TOKEN: &str = "peer-secret";
+/// How long conditions are waited for; far above any stated bound.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One failure domain of a plan.
+#[derive(Clone, Debug)]
+pub struct DomainPlan {
+    pub name: &'static str,
+    pub region: &'static str,
+    pub entries: usize,
+    pub targets: usize,
+}
+
+/// What a cluster looks like.
+#[derive(Clone, Debug)]
+pub struct ClusterPlan {
+    pub domains: Vec<DomainPlan>,
+    /// How many of the first entries have a disk.
+    pub replicas: usize,
+    pub target: StandPlan,
+    pub ttl_ms: u64,
+    pub drain_ms: u64,
+    pub link_bytes_per_second: u64,
+    /// One-way delays within and between regions; no proxies without them or `proxied`.
+    pub delays: Option<(Duration, Duration)>,
+    pub proxied: bool,
+    pub instance_list: Option<SocketAddr>,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        let domain = |name, region| DomainPlan {
+            name,
+            region,
+            entries: 1,
+            targets: 2,
+        };
+        Self {
+            domains: vec![domain("a1", "a"), domain("a2", "a"), domain("b1", "b")],
+            replicas: 3,
+            target: StandPlan::default(),
+            ttl_ms: 1_000,
+            drain_ms: 300,
+            link_bytes_per_second: 500_000_000,
+            delays: None,
+            proxied: false,
+            instance_list: None,
+        }
+    }
+}
+
+/// One daemon.
+pub struct NodeProcess {
+    pub name: String,
+    pub domain: String,
+    pub region: String,
+    pub http: SocketAddr,
+    pub peer: SocketAddr,
+    pub settings: PathBuf,
+    pub data: Option<PathBuf>,
+    pub log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A running cluster.
+pub struct TestCluster {
+    pub nodes: Vec<NodeProcess>,
+    pub targets: Vec<StandServer>,
+    pub client: Client,
+    pub plan: ClusterPlan,
+    /// Proxies by who dials and whose address is dialed.
+    proxies: BTreeMap<(usize, usize), Vec<FaultProxy>>,
+    _folder: TempDir,
+}
+
+/// Returns a free port on loopback.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Returns the path of a program of the workspace.
+pub fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().unwrap();
+    path.pop();
+    if path.ends_with("deps") || path.ends_with("examples") {
+        path.pop();
+    }
+    path.push(name);
+    assert!(
+        path.exists(),
+        "{} is missing: run `cargo build --workspace` first",
+        path.display()
+    );
+    path
+}
+
+pub fn hex_digest(text: &str) -> String {
+    Sha256::digest(text.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// Waits until a condition holds.
+pub async fn until<F, Fut>(what: &str, mut holds: F)
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let deadline = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl NodeProcess {
+    pub fn start(&mut self) {
+        assert!(self.child.is_none(), "{} runs already", self.name);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .unwrap();
+        let mut command = Command::new(program("hemlockspoold"));
+        command.arg("--settings").arg(&self.settings);
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        self.child = Some(command.spawn().unwrap());
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.child
+            .as_ref()
+            .map(|child| child.id() as i32)
+            .expect("it runs")
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        #[allow(unsafe_code)]
+        // The process is a child of this one and hasn't been waited for.
+        let sent = unsafe { libc::kill(self.pid(), signal) };
+        assert_eq!(sent, 0);
+    }
+
+    pub fn freeze(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Asks for a planned stop and waits for its end; returns the exit code.
+    pub async fn stop(&mut self) -> Option<i32> {
+        self.signal(libc::SIGTERM);
+        self.ended().await
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let mut child = self.child.take().expect("it runs");
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < deadline, "{} does not end", self.name);
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl TestCluster {
+    /// Starts targets and daemons, makes the first replica and adds the others.
+    pub async fn start(plan: ClusterPlan) -> Self {
+        let mut cluster = Self::prepare(plan).await;
+        for node in &mut cluster.nodes {
+            node.start();
+        }
+        cluster.form().await;
+        cluster
+    }
+
+    /// Makes everything but starts no daemon.
+    pub async fn prepare(plan: ClusterPlan) -> Self {
+        let folder = TempDir::new().unwrap();
+        let mut nodes = Vec::new();
+        let mut targets = Vec::new();
+        for domain in &plan.domains {
+            for place in 0..domain.entries {
+                let name = format!("{}-e{place}", domain.name);
+                nodes.push(NodeProcess {
+                    domain: domain.name.to_owned(),
+                    region: domain.region.to_owned(),
+                    http: free_address(),
+                    peer: free_address(),
+                    settings: folder.path().join(format!("{name}.json")),
+                    data: (nodes.len() < plan.replicas).then(|| folder.path().join(&name)),
+                    log: folder.path().join(format!("{name}.log")),
+                    name,
+                    child: None,
+                });
+            }
+            for place in 0..domain.targets {
+                let name = format!("{}-t{place}", domain.name);
+                let plan = StandPlan {
+                    name,
+                    ..plan.target.clone()
+                };
+                let any = (Ipv4Addr::LOCALHOST, 0).into();
+                targets.push(StandServer::start(any, plan).await.unwrap());
+            }
+        }
+        let client = Client::builder()
+            .no_proxy()
+            .timeout(PATIENCE)
+            .build()
+            .unwrap();
+        let proxies = BTreeMap::new();
+        let mut cluster = Self {
+            nodes,
+            targets,
+            client,
+            plan,
+            proxies,
+            _folder: folder,
+        };
+        cluster.write_settings().await;
+        cluster
+    }
+
+    /// Makes the log's first voter and adds the other replicas.
+    pub async fn form(&self) {
+        until("the first voter", || async {
+            self.change_replicas(0, &ReplicaBody::Init).await == Some(ReplicaAnswer::Done)
+        })
+        .await;
+        for index in 1..self.plan.replicas {
+            let body = ReplicaBody::Add(self.nodes[index].name.as_str().into());
+            until("a replica is taken in", || async {
+                self.change_replicas(0, &body).await == Some(ReplicaAnswer::Done)
+            })
+            .await;
+            let name = &self.nodes[index].name;
+            until("a replica votes", || async { self.votes(0, name).await }).await;
+        }
+    }
+
+    /// Whether an entry knows that an instance votes.
+    pub async fn votes(&self, at: usize, name: &str) -> bool {
+        let Some(status) = self.status(at).await else {
+            return false;
+        };
+        let members = status
+            .replica
+            .map(|replica| replica.members)
+            .unwrap_or_default();
+        members
+            .iter()
+            .any(|one| one.name.as_str() == name && one.voter)
+    }
+
+    async fn write_settings(&mut self) {
+        let replicas: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .filter(|n| n.data.is_some())
+            .map(|n| n.peer)
+            .collect();
+        for from in 0..self.nodes.len() {
+            let routes = self.routes(from).await;
+            let node = &self.nodes[from];
+            let settings = json!({
+                "deployment": "test",
+                "name": node.name,
+                "domain": node.domain,
+                "http": node.http,
+                "peer": node.peer,
+                "replicas": replicas,
+                "data_folder": node.data,
+                "peer_token": PEER_TOKEN,
+                "operators": [{"name": "ops", "token_sha256": hex_digest(TOKEN)}],
+                "instance_list": self.plan.instance_list.map(|a| format!("http://{a}/")),
+                "routes": routes,
+                "drain_ms": self.plan.drain_ms,
+            });
+            fs::write(
+                &node.settings,
+                serde_json::to_vec_pretty(&settings).unwrap(),
+            )
+            .unwrap();
+        }
+    }
+
+    async fn routes(&mut self, from: usize) -> BTreeMap<SocketAddr, SocketAddr> {
+        let mut routes = BTreeMap::new();
+        if !self.plan.proxied && self.plan.delays.is_none() {
+            return routes;
+        }
+        for to in 0..self.nodes.len() {
+            if to == from {
+                continue;
+            }
+            let near = self.nodes[to].region == self.nodes[from].region;
+            let own = self.nodes[to].domain == self.nodes[from].domain;
+            let mut pair = Vec::new();
+            for address in [self.nodes[to].peer, self.nodes[to].http] {
+                let proxy = FaultProxy::start(address).await.unwrap();
+                if let (Some((within, between)), false) = (self.plan.delays, own) {
+                    proxy.delay(if near { within } else { between });
+                }
+                routes.insert(address, proxy.address);
+                pair.push(proxy);
+            }
+            self.proxies.insert((from, to), pair);
+        }
+        routes
+    }
+
+    /// Cuts what one daemon dials at another, or mends it.
+    pub fn cut(&self, from: usize, to: usize, cut: bool) {
+        for proxy in &self.proxies[&(from, to)] {
+            if cut { proxy.cut() } else { proxy.mend() }
+        }
+    }
+
+    /// Cuts one daemon off from all others both ways, or mends it.
+    pub fn isolate(&self, node: usize, cut: bool) {
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            self.cut(node, other, cut);
+            self.cut(other, node, cut);
+        }
+    }
+
+    /// The objects of the plan.
+    pub fn objects(&self) -> Vec<DeclaredObject> {
+        let mut all: Vec<DeclaredObject> = Vec::new();
+        let mut regions: Vec<&str> = self.plan.domains.iter().map(|d| d.region).collect();
+        regions.dedup();
+        for region in &regions {
+            all.push(DeclaredObject::Region(RegionObject {
+                name: (*region).into(),
+            }));
+            for other in regions.iter().filter(|other| *other != region) {
+                all.push(DeclaredObject::Link(LinkObject {
+                    name: format!("{region}-{other}").as_str().into(),
+                    from: (*region).into(),
+                    to: (*other).into(),
+                    bytes_per_second: self.plan.link_bytes_per_second,
+                }));
+            }
+        }
+        for domain in &self.plan.domains {
+            let (name, region) = (domain.name.into(), domain.region.into());
+            all.push(DeclaredObject::FailureDomain(DomainObject { name, region }));
+        }
+        all.push(DeclaredObject::Service(self.service()));
+        for node in &self.nodes {
+            all.push(DeclaredObject::Entry(EntryObject {
+                name: node.name.as_str().into(),
+                domain: node.domain.as_str().into(),
+                http: node.http,
+                peer: node.peer,
+            }));
+        }
+        let mut targets = self.targets.iter();
+        for domain in &self.plan.domains {
+            for server in targets.by_ref().take(domain.targets) {
+                all.push(DeclaredObject::Target(TargetObject {
+                    name: server.target.plan.name.as_str().into(),
+                    service: "desk".into(),
+                    domain: domain.name.into(),
+                    address: server.target.address,
+                    slots: server.target.plan.slots as u32,
+                    connections: 330,
+                    ramp_ms: None,
+                }));
+            }
+        }
+        all
+    }
+
+    fn service(&self) -> ServiceObject {
+        let safe = KindPolicy {
+            weight: 1,
+            deadline_ms: 10_000,
+            ..KindPolicy::default()
+        };
+        let never = KindPolicy {
+            weight: 5,
+            repeat: RepeatRule::Never,
+            deadline_ms: 10_000,
+            request_bytes: 1 << 20,
+            ..KindPolicy::default()
+        };
+        let kinds = [
+            ("read".into(), safe.clone()),
+            ("upload".into(), safe),
+            ("book".into(), never),
+        ];
+        let lookup_ttl_ms = self.plan.ttl_ms;
+        ServiceObject {
+            name: "desk".into(),
+            kinds: kinds.into(),
+            lookup_ttl_ms,
+        }
+    }
+
+    pub fn url(&self, at: usize, path: &str) -> String {
+        format!("http://{}{path}", self.nodes[at].http)
+    }
+
+    pub async fn status(&self, at: usize) -> Option<StatusAnswer> {
+        let asking = self
+            .client
+            .get(self.url(at, "/v1/status"))
+            .timeout(Duration::from_secs(2));
+        asking.send().await.ok()?.json().await.ok()
+    }
+
+    pub async fn config(&self, at: usize) -> Option<ConfigAnswer> {
+        let asking = self
+            .client
+            .get(self.url(at, "/v1/config"))
+            .timeout(Duration::from_secs(2));
+        asking.send().await.ok()?.json().await.ok()
+    }
+
+    /// Sends one publication, once.
+    pub async fn publish(
+        &self,
+        at: usize,
+        tag: &str,
+        base: u64,
+        objects: Vec<DeclaredObject>,
+    ) -> Option<PublishAnswer> {
+        let base = ConfigVersion(base);
+        let body = PublishBody {
+            request: RequestTag::new(tag),
+            base,
+            objects,
+        };
+        let posting = self
+            .client
+            .post(self.url(at, "/v1/publish"))
+            .bearer_auth(TOKEN)
+            .json(&body);
+        posting
+            .timeout(Duration::from_secs(10))
+            .send()
+            .await
+            .ok()?
+            .json()
+            .await
+            .ok()
+    }
+
+    /// Publishes until accepted, and waits until the version is in force at every daemon that runs.
+    pub async fn publish_in_force(&self, tag: &str, objects: Vec<DeclaredObject>) -> u64 {
+        let version = Cell::new(0);
+        until("a publication is accepted", || async {
+            let Some(config) = self.config(0).await else {
+                return false;
+            };
+            let answer = self
+                .publish(0, tag, config.version.0, objects.clone())
+                .await;
+            let Some(PublishAnswer::Accepted { version: got }) = answer else {
+                return false;
+            };
+            version.set(got.0);
+            true
+        })
+        .await;
+        let version = version.get();
+        self.in_force(version).await;
+        version
+    }
+
+    /// Waits until a version is in force at every daemon that runs.
+    pub async fn in_force(&self, version: u64) {
+        for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].child.is_some()) {
+            until("a version is in force", || async {
+                let status = self.status(at).await;
+                status
+                    .and_then(|s| s.version)
+                    .is_some_and(|v| v.0 >= version)
+            })
+            .await;
+        }
+    }
+
+    pub async fn change_replicas(&self, at: usize, body: &ReplicaBody) -> Option<ReplicaAnswer> {
+        let posting = self
+            .client
+            .post(self.url(at, "/v1/replicas"))
+            .bearer_auth(TOKEN)
+            .json(body);
+        posting
+            .timeout(Duration::from_secs(3))
+            .send()
+            .await
+            .ok()?
+            .json()
+            .await
+            .ok()
+    }
+
+    /// The daemon that leads now.
+    pub async fn leader(&self) -> usize {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            for at in (0..self.plan.replicas).filter(|at| self.nodes[*at].child.is_some()) {
+                let role = self
+                    .status(at)
+                    .await
+                    .and_then(|s| s.replica)
+                    .map(|r| r.role);
+                if role.as_deref() == Some("leader") {
+                    return at;
+                }
+            }
+            assert!(Instant::now() < deadline, "nobody leads");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fault_proxy.rs
@@ -0,0 +1,170 @@
+/*!
+A TCP proxy that delays, slows, freezes and cuts, each way by itself.
+*/
+
+use {
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, tcp},
+        sync::mpsc,
+        task::JoinHandle,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+const CHUNK_BYTES: usize = 16 << 10;
+const FREEZE_CHECK: Duration = Duration::from_millis(10);
+
+/// What happens to the bytes of one way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WayFaults {
+    pub delay: Duration,
+    /// Nothing passes, and connections stay open.
+    pub frozen: bool,
+    pub bytes_per_second: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProxyFaults {
+    pub forth: WayFaults,
+    pub back: WayFaults,
+    /// Open connections are closed and new ones refused.
+    pub cut: bool,
+}
+
+/// A proxy in front of one address.
+pub struct FaultProxy {
+    pub address: SocketAddr,
+    faults: Arc<Mutex<ProxyFaults>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl FaultProxy {
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let faults: Arc<Mutex<ProxyFaults>> = Arc::default();
+        let shared = Arc::clone(&faults);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if shared.lock().unwrap().cut {
+                    continue;
+                }
+                tokio::spawn(carry(stream, target, Arc::clone(&shared)));
+            }
+        });
+        Ok(Self {
+            address,
+            faults,
+            task,
+        })
+    }
+
+    pub fn set(&self, faults: ProxyFaults) {
+        *self.faults.lock().unwrap() = faults;
+    }
+
+    /// Delays both ways.
+    pub fn delay(&self, delay: Duration) {
+        let way = WayFaults {
+            delay,
+            ..WayFaults::default()
+        };
+        self.set(ProxyFaults {
+            forth: way,
+            back: way,
+            cut: false,
+        });
+    }
+
+    pub fn cut(&self) {
+        self.faults.lock().unwrap().cut = true;
+    }
+
+    pub fn mend(&self) {
+        self.set(ProxyFaults::default());
+    }
+}
+
+async fn carry(near: TcpStream, target: SocketAddr, faults: Arc<Mutex<ProxyFaults>>) {
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let (forth, back) = (Arc::clone(&faults), Arc::clone(&faults));
+    let mut one = tokio::spawn(pass(near_read, far_write, move || {
+        forth.lock().unwrap().forth
+    }));
+    let mut other = tokio::spawn(pass(far_read, near_write, move || {
+        back.lock().unwrap().back
+    }));
+    loop {
+        tokio::select! {
+            _ = &mut one => break,
+            _ = &mut other => break,
+            () = sleep(FREEZE_CHECK) => {
+                if faults.lock().unwrap().cut {
+                    break;
+                }
+            }
+        }
+    }
+    // A side that closed may still be owed what is under way.
+    let grace = if faults.lock().unwrap().cut {
+        Duration::ZERO
+    } else {
+        Duration::from_millis(200)
+    };
+    sleep(grace).await;
+    one.abort();
+    other.abort();
+}
+
+async fn pass<F>(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, way: F)
+where
+    F: Fn() -> WayFaults + Send + 'static,
+{
+    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(64);
+    let reading = tokio::spawn(async move {
+        let mut chunk = vec![0; CHUNK_BYTES];
+        while let Ok(count) = from.read(&mut chunk).await {
+            if count == 0
+                || sender
+                    .send((Instant::now(), chunk[..count].to_vec()))
+                    .await
+                    .is_err()
+            {
+                break;
+            }
+        }
+    });
+    while let Some((read_at, bytes)) = receiver.recv().await {
+        while way().frozen {
+            sleep(FREEZE_CHECK).await;
+        }
+        sleep_until(read_at + way().delay).await;
+        if let Some(rate) = way().bytes_per_second {
+            sleep(Duration::from_secs_f64(bytes.len() as f64 / rate as f64)).await;
+        }
+        if to.write_all(&bytes).await.is_err() {
+            break;
+        }
+    }
+    reading.abort();
+    let _ = to.shutdown().await;
+}
