--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -30,9 +30,7 @@
         if options.servers.is_empty() {
             return Err(CommandError::NoServers);
         }
-        let http = Client::builder()
-            .no_proxy()
-            .connect_timeout(CONNECT_TIMEOUT);
+        let http = Client::builder().no_proxy().connect_timeout(CONNECT_TIMEOUT);
         let http = http.timeout(ANSWER_TIMEOUT).build();
         let http = http.map_err(|error| CommandError::Unanswered { last: Some(error) })?;
         Ok(Self { options, http })
@@ -66,11 +64,7 @@
     where
         T: DeserializeOwned,
     {
-        let answer = self
-            .http
-            .get(format!("http://{server}{path}"))
-            .send()
-            .await?;
+        let answer = self.http.get(format!("http://{server}{path}")).send().await?;
         answer.error_for_status()?.json().await
     }
 
--- a/crates/cli/src/commands/change.rs
+++ b/crates/cli/src/commands/change.rs
@@ -57,15 +57,19 @@
         Command::new("check")
             .about("Checks a folder of declarations without publishing it")
             .args([folder.clone(), diff]),
-        Command::new("publish")
-            .about("Publishes a folder of declarations as one set")
-            .args([folder, base, request(), wait()]),
-        Command::new("drain")
-            .about("Drains a target, entry, failure domain or region")
-            .args([subject.clone(), name.clone(), request(), wait()]),
-        Command::new("undrain")
-            .about("Ends a drain")
-            .args([subject, name, request(), wait()]),
+        Command::new("publish").about("Publishes a folder of declarations as one set").args([
+            folder,
+            base,
+            request(),
+            wait(),
+        ]),
+        Command::new("drain").about("Drains a target, entry, failure domain or region").args([
+            subject.clone(),
+            name.clone(),
+            request(),
+            wait(),
+        ]),
+        Command::new("undrain").about("Ends a drain").args([subject, name, request(), wait()]),
     ]
 }
 
@@ -163,16 +167,10 @@
 }
 
 fn read_checked(arguments: &ArgMatches) -> Result<ObjectSet, CommandError> {
-    let folder: &PathBuf = arguments
-        .get_one("folder")
-        .expect("the argument is required");
+    let folder: &PathBuf = arguments.get_one("folder").expect("the argument is required");
     let set = folder::read(folder)?;
     let faults = check::faults(&set);
-    if faults.is_empty() {
-        Ok(set)
-    } else {
-        Err(CommandError::Faulty { faults })
-    }
+    if faults.is_empty() { Ok(set) } else { Err(CommandError::Faulty { faults }) }
 }
 
 async fn send(
@@ -185,11 +183,7 @@
     let given = arguments.get_one::<String>("request");
     let fresh = || format!("{:016x}", rand::random::<u64>());
     let request = RequestTag::new(&given.cloned().unwrap_or_else(fresh));
-    let body = PublishBody {
-        request,
-        base,
-        objects: set.objects(),
-    };
+    let body = PublishBody { request, base, objects: set.objects() };
     let version = match send_until_certain(options, client, &body).await? {
         PublishAnswer::Accepted { version } => version,
         PublishAnswer::Faulty { faults } => return Err(CommandError::Faulty { faults }),
@@ -219,12 +213,7 @@
     body: &PublishBody,
 ) -> Result<PublishAnswer, CommandError> {
     let mut last = None;
-    for server in options
-        .servers
-        .iter()
-        .cycle()
-        .take(options.servers.len() * PUBLISH_ROUNDS)
-    {
+    for server in options.servers.iter().cycle().take(options.servers.len() * PUBLISH_ROUNDS) {
         match client.post_to(server, "/v1/publish", body).await {
             Ok(answer) => match answer {
                 PublishAnswer::Behind { .. } | PublishAnswer::Unknown => {}
@@ -265,14 +254,9 @@
 
 fn text_diff(old: &[DeclaredObject], new: &[DeclaredObject]) -> String {
     let text = |objects: &[DeclaredObject]| {
-        let lines = objects
-            .iter()
-            .map(|object| serde_json::to_string(object).unwrap_or_default());
+        let lines = objects.iter().map(|object| serde_json::to_string(object).unwrap_or_default());
         lines.map(|line| line + "\n").collect::<String>()
     };
     let (old, new) = (text(old), text(new));
-    TextDiff::from_lines(&old, &new)
-        .unified_diff()
-        .context_radius(0)
-        .to_string()
+    TextDiff::from_lines(&old, &new).unified_diff().context_radius(0).to_string()
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -47,8 +47,5 @@
 where
     T: serde::Serialize,
 {
-    println!(
-        "{}",
-        serde_json::to_string_pretty(value).unwrap_or_default()
-    );
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
--- a/crates/cli/src/commands/replicas.rs
+++ b/crates/cli/src/commands/replicas.rs
@@ -30,11 +30,7 @@
                 .about("Takes an instance in, and waits until it votes")
                 .arg(name.clone()),
         )
-        .subcommand(
-            Command::new("remove")
-                .about("Takes an instance out")
-                .arg(name),
-        )
+        .subcommand(Command::new("remove").about("Takes an instance out").arg(name))
 }
 
 /// Runs a command.
@@ -100,21 +96,14 @@
     let deadline = Instant::now() + CHANGE_WAIT;
     while Instant::now() < deadline {
         let status: StatusAnswer = client.get("/v1/status").await?;
-        let members = status
-            .replica
-            .map(|replica| replica.members)
-            .unwrap_or_default();
-        let votes = members
-            .iter()
-            .any(|one| one.name.as_str() == name && one.voter);
+        let members = status.replica.map(|replica| replica.members).unwrap_or_default();
+        let votes = members.iter().any(|one| one.name.as_str() == name && one.voter);
         if votes {
             return Ok(());
         }
         sleep(CHANGE_CHECK).await;
     }
-    Err(CommandError::Replica {
-        answer: ReplicaAnswer::Busy,
-    })
+    Err(CommandError::Replica { answer: ReplicaAnswer::Busy })
 }
 
 async fn ask(
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -12,18 +12,11 @@
 /// Returns the commands.
 pub(crate) fn subcommands() -> Vec<Command> {
     let number = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_parser(value_parser!(u64))
-            .help(help)
+        Arg::new(name).long(name).value_parser(value_parser!(u64)).help(help)
     };
     let all = Arg::new("all").long("all").action(ArgAction::SetTrue);
-    let operator = Arg::new("operator")
-        .long("operator")
-        .help("Only this operator's records");
-    let caller = Arg::new("caller")
-        .long("caller")
-        .help("The caller's address");
+    let operator = Arg::new("operator").long("operator").help("Only this operator's records");
+    let caller = Arg::new("caller").long("caller").help("The caller's address");
     vec![
         Command::new("show").about("Shows the set in force"),
         Command::new("status")
@@ -37,9 +30,7 @@
         Command::new("tally")
             .about("Shows the monthly tallies")
             .arg(number("month", "The month, as year times 100 plus month")),
-        Command::new("lookup")
-            .about("Asks which entries a caller should use")
-            .arg(caller),
+        Command::new("lookup").about("Asks which entries a caller should use").arg(caller),
     ]
 }
 
@@ -123,9 +114,7 @@
     arguments: &ArgMatches,
 ) -> Result<(), CommandError> {
     let month = arguments.get_one::<u64>("month");
-    let path = month.map_or("/v1/tally".to_owned(), |month| {
-        format!("/v1/tally?month={month}")
-    });
+    let path = month.map_or("/v1/tally".to_owned(), |month| format!("/v1/tally?month={month}"));
     let lines: Vec<TallyLine> = EntryClient::new(options)?.get(&path).await?;
     if options.json {
         print_json(&lines);
@@ -145,9 +134,7 @@
     arguments: &ArgMatches,
 ) -> Result<(), CommandError> {
     let caller = arguments.get_one::<String>("caller");
-    let path = caller.map_or("/v1/lookup".to_owned(), |ip| {
-        format!("/v1/lookup?caller={ip}")
-    });
+    let path = caller.map_or("/v1/lookup".to_owned(), |ip| format!("/v1/lookup?caller={ip}"));
     let answer: LookupAnswer = EntryClient::new(options)?.get(&path).await?;
     if options.json {
         print_json(&answer);
--- a/crates/cli/src/folder.rs
+++ b/crates/cli/src/folder.rs
@@ -31,12 +31,7 @@
     }
     let set = declaration::collect(objects).map_err(|errors| {
         let twice = errors.into_iter();
-        twice
-            .map(|error| FileFault {
-                path: folder.to_owned(),
-                error,
-            })
-            .collect::<Vec<_>>()
+        twice.map(|error| FileFault { path: folder.to_owned(), error }).collect::<Vec<_>>()
     });
     match set {
         Ok(set) if faults.is_empty() => Ok(set),
@@ -53,10 +48,7 @@
         let path = entry.map_err(unreadable(folder))?.path();
         if path.is_dir() {
             find(&path, paths)?;
-        } else if path
-            .extension()
-            .is_some_and(|extension| extension == "json")
-        {
+        } else if path.extension().is_some_and(|extension| extension == "json") {
             paths.push(path);
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -24,9 +24,7 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(source) => return fail(CommandError::Runtime { source }),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -52,11 +52,7 @@
             .value_parser(value_parser!(PathBuf))
             .env("HEMLOCKSPOOL_PROFILE")
             .help("A JSON file with servers and token"),
-        Arg::new("json")
-            .long("json")
-            .global(true)
-            .action(ArgAction::SetTrue)
-            .help("Prints JSON"),
+        Arg::new("json").long("json").global(true).action(ArgAction::SetTrue).help("Prints JSON"),
     ]
 }
 
@@ -73,25 +69,14 @@
         };
         let given = matches.get_many::<String>("server");
         let servers = given.map_or(profile.servers, |servers| servers.cloned().collect());
-        let token = matches
-            .get_one::<String>("token")
-            .cloned()
-            .or(profile.token);
-        Ok(Self {
-            servers,
-            token,
-            json: matches.get_flag("json"),
-        })
+        let token = matches.get_one::<String>("token").cloned().or(profile.token);
+        Ok(Self { servers, token, json: matches.get_flag("json") })
     }
 }
 
 fn read_profile(path: &PathBuf) -> Result<ProfileFile, CommandError> {
-    let text = std::fs::read_to_string(path).map_err(|source| CommandError::Profile {
-        path: path.clone(),
-        source,
-    })?;
-    serde_json::from_str(&text).map_err(|source| CommandError::ProfileForm {
-        path: path.clone(),
-        source,
-    })
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| CommandError::Profile { path: path.clone(), source })?;
+    serde_json::from_str(&text)
+        .map_err(|source| CommandError::ProfileForm { path: path.clone(), source })
 }
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -13,32 +13,13 @@
 /// Returns a table of entries.
 pub(crate) fn status(answers: &[StatusAnswer]) -> String {
     let mut out = String::new();
-    let head = [
-        "instance",
-        "domain",
-        "version",
-        "confirmed",
-        "role",
-        "in flight",
-        "queued",
-    ];
+    let head = ["instance", "domain", "version", "confirmed", "role", "in flight", "queued"];
     line(&mut out, &head.map(str::to_owned));
     for answer in answers {
-        let version = answer
-            .version
-            .map_or("-".to_owned(), |version| version.to_string());
-        let age = answer
-            .confirmed_age_ms
-            .map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
-        let role = answer
-            .replica
-            .as_ref()
-            .map_or("entry", |replica| replica.role.as_str());
-        let role = if answer.stopping {
-            format!("{role}, stopping")
-        } else {
-            role.to_owned()
-        };
+        let version = answer.version.map_or("-".to_owned(), |version| version.to_string());
+        let age = answer.confirmed_age_ms.map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+        let role = answer.replica.as_ref().map_or("entry", |replica| replica.role.as_str());
+        let role = if answer.stopping { format!("{role}, stopping") } else { role.to_owned() };
         line(
             &mut out,
             &[
@@ -59,10 +40,7 @@
 pub(crate) fn audit(page: &AuditAnswer) -> String {
     let mut out = String::new();
     for record in &page.records {
-        let operator = record
-            .operator
-            .as_ref()
-            .map_or("(unknown)", |name| name.as_str());
+        let operator = record.operator.as_ref().map_or("(unknown)", |name| name.as_str());
         let _ = writeln!(
             out,
             "{:>6}  {}  {operator}  {:?}  {} -> {}  {}",
@@ -104,10 +82,7 @@
 
 /// Returns the answer to a look-up.
 pub(crate) fn lookup(answer: &LookupAnswer) -> String {
-    let mut out = format!(
-        "version {}, keep for {} ms\n",
-        answer.version, answer.ttl_ms
-    );
+    let mut out = format!("version {}, keep for {} ms\n", answer.version, answer.ttl_ms);
     for entry in &answer.entries {
         let (name, domain) = (entry.name.to_string(), entry.domain.to_string());
         line(&mut out, &[name, domain, entry.address.to_string()]);
--- a/crates/core/src/caps.rs
+++ b/crates/core/src/caps.rs
@@ -54,16 +54,10 @@
         let in_flight = set.ceiling(&LimitResource::Region(region.clone()));
         let shift = set.ceiling(&LimitResource::Shift(region.clone()));
         let by_slots = |whole| slot_part(set, &region, domain, whole);
-        let longest = set
-            .services
-            .values()
-            .map(|service| service.lookup_ttl_ms)
-            .max();
+        let longest = set.services.values().map(|service| service.lookup_ttl_ms).max();
         Self {
             in_flight: in_flight.map(by_slots),
-            entry_shift: shift
-                .map(by_slots)
-                .map(|part| entry_part(set, domain, entry, part)),
+            entry_shift: shift.map(by_slots).map(|part| entry_part(set, domain, entry, part)),
             window: Duration::from_millis(longest.unwrap_or(1)),
             links: link_parts(set, &region, domain),
             service_domains: service_domains(set),
@@ -90,10 +84,7 @@
 
 fn slot_part(set: &ObjectSet, region: &RegionName, domain: &DomainName, whole: u64) -> u64 {
     let total = set.region_slots(region);
-    let own = set
-        .domains
-        .values()
-        .filter(|object| object.region == *region);
+    let own = set.domains.values().filter(|object| object.region == *region);
     let before = own.take_while(|object| object.name != *domain);
     let before: u64 = before.map(|object| set.domain_slots(&object.name)).sum();
     range_part(whole, before, before + set.domain_slots(domain), total)
@@ -102,11 +93,7 @@
 /// The parts of entries in a window that looks back must not grow when another entry goes silent,
 /// so they rest on who is declared and not on who serves.
 fn entry_part(set: &ObjectSet, domain: &DomainName, entry: &InstanceName, whole: u64) -> u64 {
-    let own = || {
-        set.entries
-            .values()
-            .filter(|object| object.domain == *domain)
-    };
+    let own = || set.entries.values().filter(|object| object.domain == *domain);
     let total = own().count() as u64;
     let Some(place) = own().position(|object| object.name == *entry) else {
         return 0;
@@ -132,27 +119,15 @@
         .map(|link| {
             let for_bodies = link.bytes_per_second / 100 * LINK_BODY_PERCENT;
             let bytes_per_second = range_part(for_bodies, place, place + 1, total);
-            (
-                link.to.clone(),
-                LinkPart {
-                    link: link.name.clone(),
-                    bytes_per_second,
-                },
-            )
+            (link.to.clone(), LinkPart { link: link.name.clone(), bytes_per_second })
         })
         .collect()
 }
 
 fn service_domains(set: &ObjectSet) -> BTreeMap<ServiceName, BTreeSet<DomainName>> {
     let mut all: BTreeMap<ServiceName, BTreeSet<DomainName>> = BTreeMap::new();
-    for target in set
-        .targets
-        .values()
-        .filter(|target| !set.target_drained(target))
-    {
-        all.entry(target.service.clone())
-            .or_default()
-            .insert(target.domain.clone());
+    for target in set.targets.values().filter(|target| !set.target_drained(target)) {
+        all.entry(target.service.clone()).or_default().insert(target.domain.clone());
     }
     all
 }
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -38,9 +38,7 @@
         self.hard.term += 1;
         self.hard.voted_for = Some(self.me);
         self.leader = None;
-        self.role = ReplicaRole::Candidate {
-            votes: BTreeSet::new(),
-        };
+        self.role = ReplicaRole::Candidate { votes: BTreeSet::new() };
         self.persist_hard();
         self.vote_when_durable();
         self.ask_votes(self.hard.term, false, handover);
@@ -50,12 +48,7 @@
         let last = self.log.last();
         let others: Vec<ReplicaId> = self.voters().filter(|id| *id != self.me).collect();
         for to in others {
-            let message = ConsensusMessage::VoteRequest {
-                term,
-                last,
-                trial,
-                handover,
-            };
+            let message = ConsensusMessage::VoteRequest { term, last, trial, handover };
             self.send_durable(to, message);
         }
     }
@@ -91,26 +84,12 @@
         let stale = term < self.hard.term || (trial && term == self.hard.term);
         if refused || stale {
             let term = self.hard.term;
-            self.send_durable(
-                from,
-                ConsensusMessage::VoteReply {
-                    term,
-                    granted: false,
-                    trial,
-                },
-            );
+            self.send_durable(from, ConsensusMessage::VoteReply { term, granted: false, trial });
             return;
         }
         let current = last >= self.log.last();
         if trial {
-            self.send_durable(
-                from,
-                ConsensusMessage::VoteReply {
-                    term,
-                    granted: current,
-                    trial,
-                },
-            );
+            self.send_durable(from, ConsensusMessage::VoteReply { term, granted: current, trial });
             return;
         }
         if term > self.hard.term {
@@ -123,14 +102,7 @@
             self.postpone_election(now);
             self.persist_hard();
         }
-        self.send_durable(
-            from,
-            ConsensusMessage::VoteReply {
-                term,
-                granted,
-                trial,
-            },
-        );
+        self.send_durable(from, ConsensusMessage::VoteReply { term, granted, trial });
     }
 
     pub(crate) fn on_vote_reply(
@@ -172,9 +144,7 @@
         self.leader_heard = now;
         self.heartbeat_due = now;
         self.progress.clear();
-        self.note(NodeNote::LeadWon {
-            term: self.hard.term,
-        });
+        self.note(NodeNote::LeadWon { term: self.hard.term });
         self.propose(LogPayload::Noop, now);
     }
 
@@ -225,10 +195,7 @@
 
     pub(crate) fn progress_of(&mut self, id: ReplicaId) -> &mut PeerProgress {
         let next = self.log.last().index + 1;
-        let fresh = || PeerProgress {
-            next,
-            ..PeerProgress::default()
-        };
+        let fresh = || PeerProgress { next, ..PeerProgress::default() };
         self.progress.entry(id).or_insert_with(fresh)
     }
 }
--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -94,20 +94,10 @@
 /// Something that waits for a write.
 #[derive(Clone, Debug)]
 enum WaitingAction {
-    Send {
-        peer: SocketAddr,
-        to: ReplicaId,
-        message: ConsensusMessage,
-    },
-    OwnVote {
-        term: u64,
-    },
-    Durable {
-        index: u64,
-    },
-    CommitMark {
-        index: u64,
-    },
+    Send { peer: SocketAddr, to: ReplicaId, message: ConsensusMessage },
+    OwnVote { term: u64 },
+    Durable { index: u64 },
+    CommitMark { index: u64 },
 }
 
 /// One group at one replica.
@@ -146,10 +136,8 @@
     /// The restart counts as hearing from a leader: a replica that may have helped a leader's
     /// lease just before it stopped must not vote until that lease has run out.
     pub fn restore(me: ReplicaId, restored: RestoredLog, now: Moment, random: Pcg32) -> Self {
-        let mut member_log = vec![(
-            restored.image.meta.last.index,
-            restored.image.meta.members.clone(),
-        )];
+        let mut member_log =
+            vec![(restored.image.meta.last.index, restored.image.meta.members.clone())];
         for entry in &restored.entries {
             if let LogPayload::Members(members) = &entry.payload {
                 member_log.push((entry.position.index, members.clone()));
@@ -158,10 +146,7 @@
         member_log.sort_by_key(|(index, _)| *index);
         let taken = restored.image.meta.last.index;
         let log = LogBuffer::new(restored.base, restored.entries);
-        let commit = restored
-            .hard
-            .commit
-            .clamp(taken, log.last().index.max(taken));
+        let commit = restored.hard.commit.clamp(taken, log.last().index.max(taken));
         let durable = log.last().index;
         let mut group = Self {
             me,
@@ -204,11 +189,7 @@
 
     /// Returns the latest set of replicas, committed or not.
     pub fn members(&self) -> &MemberSet {
-        &self
-            .member_log
-            .last()
-            .expect("the snapshot's set is always there")
-            .1
+        &self.member_log.last().expect("the snapshot's set is always there").1
     }
 
     /// Returns this replica's id.
@@ -282,10 +263,7 @@
             if *id == self.me {
                 return now;
             }
-            self.progress
-                .get(id)
-                .and_then(|progress| progress.echo)
-                .unwrap_or_default()
+            self.progress.get(id).and_then(|progress| progress.echo).unwrap_or_default()
         };
         let mut echoes: Vec<Moment> = self.voters().map(|id| echo_of(&id)).collect();
         echoes.sort_unstable();
@@ -326,56 +304,24 @@
             self.contacts.pop_first();
         }
         match message {
-            M::VoteRequest {
-                term,
-                last,
-                trial,
-                handover,
-            } => {
+            M::VoteRequest { term, last, trial, handover } => {
                 self.on_vote_request(from, term, last, trial, handover, now);
             }
-            M::VoteReply {
-                term,
-                granted,
-                trial,
-            } => {
+            M::VoteReply { term, granted, trial } => {
                 self.on_vote_reply(from, term, granted, trial, now);
             }
-            M::Append {
-                term,
-                previous,
-                entries,
-                commit,
-                sent_at,
-            } => {
+            M::Append { term, previous, entries, commit, sent_at } => {
                 self.on_append(from, term, previous, entries, commit, sent_at, now);
             }
-            M::AppendReply {
-                term,
-                matched,
-                hint,
-                echo,
-            } => {
+            M::AppendReply { term, matched, hint, echo } => {
                 self.on_append_reply(from, term, matched, hint, echo, now);
             }
-            M::SnapshotChunk {
-                term,
-                meta,
-                offset,
-                total,
-                data,
-                sent_at,
-            } => {
+            M::SnapshotChunk { term, meta, offset, total, data, sent_at } => {
                 if self.follow(from, term, now) {
                     self.on_snapshot_chunk(from, meta, offset, total, data, sent_at);
                 }
             }
-            M::SnapshotReply {
-                term,
-                last_index,
-                received,
-                echo,
-            } => {
+            M::SnapshotReply { term, last_index, received, echo } => {
                 self.on_snapshot_reply(from, term, last_index, received, echo, now);
             }
             M::Handover { term } => {
@@ -390,11 +336,7 @@
     /// Takes back a ticket: its batch and all before it are synced.
     pub fn persisted(&mut self, ticket: u64, now: Moment) -> Vec<ConsensusEffect> {
         self.ticket_done = self.ticket_done.max(ticket);
-        while self
-            .waiting
-            .front()
-            .is_some_and(|(wanted, _)| *wanted <= self.ticket_done)
-        {
+        while self.waiting.front().is_some_and(|(wanted, _)| *wanted <= self.ticket_done) {
             let Some((_, action)) = self.waiting.pop_front() else {
                 break;
             };
@@ -403,23 +345,17 @@
         self.take_effects()
     }
 
-    /// Adds an entry as leader, and returns its index; none when this replica doesn't lead.
-    pub fn propose(&mut self, payload: LogPayload, now: Moment) -> Option<u64> {
+    /// Adds an entry as leader, and returns its place; none when this replica doesn't lead.
+    pub fn propose(&mut self, payload: LogPayload, now: Moment) -> Option<LogPosition> {
         if !self.is_leader() {
             return None;
         }
-        let position = LogPosition {
-            term: self.hard.term,
-            index: self.log.last().index + 1,
-        };
+        let position = LogPosition { term: self.hard.term, index: self.log.last().index + 1 };
         let entry = LogEntry { position, payload };
         self.append_local(vec![entry.clone()]);
-        self.persist(PersistBatch {
-            entries: vec![entry],
-            ..PersistBatch::default()
-        });
+        self.persist(PersistBatch { entries: vec![entry], ..PersistBatch::default() });
         self.replicate(now);
-        Some(position.index)
+        Some(position)
     }
 
     /// Returns the committed entries that weren't taken before, in order.
@@ -444,10 +380,7 @@
     pub fn mark_commit(&mut self) -> Vec<ConsensusEffect> {
         self.hard.commit = self.commit;
         self.persist_hard();
-        self.waiting.push_back((
-            self.ticket,
-            WaitingAction::CommitMark { index: self.commit },
-        ));
+        self.waiting.push_back((self.ticket, WaitingAction::CommitMark { index: self.commit }));
         self.take_effects()
     }
 
@@ -457,10 +390,7 @@
     }
 
     pub(crate) fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        self.members()
-            .iter()
-            .filter(|(_, member)| member.voter)
-            .map(|(id, _)| *id)
+        self.members().iter().filter(|(_, member)| member.voter).map(|(id, _)| *id)
     }
 
     pub(crate) fn is_voter(&self, id: ReplicaId) -> bool {
@@ -490,8 +420,7 @@
     pub(crate) fn append_local(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
             if let LogPayload::Members(members) = &entry.payload {
-                self.member_log
-                    .push((entry.position.index, members.clone()));
+                self.member_log.push((entry.position.index, members.clone()));
             }
             self.log.push(entry);
         }
@@ -512,27 +441,18 @@
     pub(crate) fn persist(&mut self, batch: PersistBatch) {
         self.ticket += 1;
         let index = self.log.last().index;
-        self.waiting
-            .push_back((self.ticket, WaitingAction::Durable { index }));
-        self.effects.push(ConsensusEffect::Persist {
-            ticket: self.ticket,
-            batch,
-        });
+        self.waiting.push_back((self.ticket, WaitingAction::Durable { index }));
+        self.effects.push(ConsensusEffect::Persist { ticket: self.ticket, batch });
     }
 
     pub(crate) fn persist_hard(&mut self) {
         let hard = Some(self.hard);
-        self.persist(PersistBatch {
-            hard,
-            ..PersistBatch::default()
-        });
+        self.persist(PersistBatch { hard, ..PersistBatch::default() });
     }
 
     /// Counts this replica's own vote once its term is on disk.
     pub(crate) fn vote_when_durable(&mut self) {
-        let action = WaitingAction::OwnVote {
-            term: self.hard.term,
-        };
+        let action = WaitingAction::OwnVote { term: self.hard.term };
         self.waiting.push_back((self.ticket, action));
     }
 
@@ -540,19 +460,16 @@
     pub(crate) fn send_durable(&mut self, to: ReplicaId, message: ConsensusMessage) {
         let Some(peer) = self.peer_of(to) else { return };
         if self.ticket == self.ticket_done {
-            self.effects
-                .push(ConsensusEffect::Send { peer, to, message });
+            self.effects.push(ConsensusEffect::Send { peer, to, message });
             return;
         }
-        self.waiting
-            .push_back((self.ticket, WaitingAction::Send { peer, to, message }));
+        self.waiting.push_back((self.ticket, WaitingAction::Send { peer, to, message }));
     }
 
     /// Sends at once: only for what promises nothing about this replica's disk.
     pub(crate) fn send_now(&mut self, to: ReplicaId, message: ConsensusMessage) {
         let Some(peer) = self.peer_of(to) else { return };
-        self.effects
-            .push(ConsensusEffect::Send { peer, to, message });
+        self.effects.push(ConsensusEffect::Send { peer, to, message });
     }
 
     fn peer_of(&self, id: ReplicaId) -> Option<SocketAddr> {
@@ -563,8 +480,7 @@
     fn perform(&mut self, action: WaitingAction, now: Moment) {
         match action {
             WaitingAction::Send { peer, to, message } => {
-                self.effects
-                    .push(ConsensusEffect::Send { peer, to, message });
+                self.effects.push(ConsensusEffect::Send { peer, to, message });
             }
             WaitingAction::OwnVote { term } => self.count_own_vote(term, now),
             WaitingAction::Durable { index } => {
@@ -582,9 +498,7 @@
     fn tick_leader(&mut self, now: Moment) {
         let contact = self.quorum_contact(now).unwrap_or_default();
         if now.since(contact) > ELECTION_MIN && now.since(self.leader_heard) > ELECTION_MIN {
-            self.note(NodeNote::LeadLost {
-                term: self.hard.term,
-            });
+            self.note(NodeNote::LeadLost { term: self.hard.term });
             self.become_follower(None, now);
             return;
         }
--- a/crates/core/src/consensus/log_buffer.rs
+++ b/crates/core/src/consensus/log_buffer.rs
@@ -17,10 +17,7 @@
 impl LogBuffer {
     /// Makes a buffer from what was stored.
     pub fn new(base: LogPosition, entries: Vec<LogEntry>) -> Self {
-        Self {
-            base,
-            entries: entries.into(),
-        }
+        Self { base, entries: entries.into() }
     }
 
     /// Returns the position before the first entry held.
@@ -30,9 +27,7 @@
 
     /// Returns the last position.
     pub fn last(&self) -> LogPosition {
-        self.entries
-            .back()
-            .map_or(self.base, |entry| entry.position)
+        self.entries.back().map_or(self.base, |entry| entry.position)
     }
 
     /// Returns the term at an index; none when it isn't held.
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -51,26 +51,13 @@
         if !self.is_blank() || self.hard.term != 0 {
             return Err(MemberRefusal::NotEmpty);
         }
-        let members = MemberSet::from([(
-            self.me,
-            ReplicaMember {
-                voter: true,
-                ..member
-            },
-        )]);
+        let members = MemberSet::from([(self.me, ReplicaMember { voter: true, ..member })]);
         let position = super::LogPosition { term: 1, index: 1 };
         self.hard.term = 1;
-        let entry = super::LogEntry {
-            position,
-            payload: LogPayload::Members(members),
-        };
+        let entry = super::LogEntry { position, payload: LogPayload::Members(members) };
         self.append_local(vec![entry.clone()]);
         let hard = Some(self.hard);
-        self.persist(super::PersistBatch {
-            hard,
-            entries: vec![entry],
-            ..Default::default()
-        });
+        self.persist(super::PersistBatch { hard, entries: vec![entry], ..Default::default() });
         self.election_due = now;
         Ok(())
     }
@@ -92,13 +79,7 @@
         }
         let mut members = self.members().clone();
         members.retain(|_, other| other.name != member.name);
-        members.insert(
-            id,
-            ReplicaMember {
-                voter: false,
-                ..member
-            },
-        );
+        members.insert(id, ReplicaMember { voter: false, ..member });
         self.change_members(members, now)
     }
 
@@ -121,16 +102,9 @@
         if !self.is_leader() {
             return Err(MemberRefusal::NotLeader);
         }
-        let pending = self
-            .member_log
-            .last()
-            .is_some_and(|(index, _)| *index > self.commit);
+        let pending = self.member_log.last().is_some_and(|(index, _)| *index > self.commit);
         let own_term = self.log.term_at(self.commit) == Some(self.hard.term);
-        if pending || !own_term {
-            Err(MemberRefusal::Busy)
-        } else {
-            Ok(())
-        }
+        if pending || !own_term { Err(MemberRefusal::Busy) } else { Ok(()) }
     }
 
     fn change_members(&mut self, members: MemberSet, now: Moment) -> Result<(), MemberRefusal> {
@@ -162,9 +136,7 @@
         let ready = |id: &ReplicaId| {
             self.answers(*id, now) && self.matched(*id).is_some_and(|at| at >= self.commit)
         };
-        let learner = members
-            .iter_mut()
-            .find(|(id, member)| !member.voter && ready(id));
+        let learner = members.iter_mut().find(|(id, member)| !member.voter && ready(id));
         let Some((_, member)) = learner else { return };
         member.voter = true;
         let name = member.name.clone();
@@ -173,10 +145,7 @@
     }
 
     pub(crate) fn resign_when_removed(&mut self, now: Moment) {
-        let settled = self
-            .member_log
-            .last()
-            .is_some_and(|(index, _)| *index <= self.commit);
+        let settled = self.member_log.last().is_some_and(|(index, _)| *index <= self.commit);
         if settled && !self.members().contains_key(&self.me) {
             self.become_follower(None, now);
         }
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -32,11 +32,7 @@
     }
 
     fn others(&self) -> Vec<ReplicaId> {
-        self.members()
-            .keys()
-            .copied()
-            .filter(|id| *id != self.me)
-            .collect()
+        self.members().keys().copied().filter(|id| *id != self.me).collect()
     }
 
     pub(crate) fn send_append(&mut self, to: ReplicaId, now: Moment) {
@@ -45,20 +41,11 @@
             self.send_snapshot(to, now);
             return;
         };
-        let previous = LogPosition {
-            term,
-            index: next - 1,
-        };
+        let previous = LogPosition { term, index: next - 1 };
         let entries = self.log.slice(next, APPEND_ENTRIES_MAX);
         self.progress_of(to).next = next + entries.len() as u64;
         let (term, commit) = (self.hard.term, self.commit);
-        let message = ConsensusMessage::Append {
-            term,
-            previous,
-            entries,
-            commit,
-            sent_at: now,
-        };
+        let message = ConsensusMessage::Append { term, previous, entries, commit, sent_at: now };
         self.send_now(to, message);
     }
 
@@ -73,20 +60,22 @@
         sent_at: Moment,
         now: Moment,
     ) {
+        // An earlier place than the one that was refused, or the leader would ask there again.
+        let hint = self.log.last().index.min(previous.index.saturating_sub(1));
         if !self.follow(from, term, now) {
-            self.reply_append(from, None, sent_at);
+            self.reply_append(from, None, hint, sent_at);
             return;
         }
         let known = previous.index < self.log.base().index
             || self.log.term_at(previous.index) == Some(previous.term);
         if !known {
-            self.reply_append(from, None, sent_at);
+            self.reply_append(from, None, hint, sent_at);
             return;
         }
         let matched = previous.index + entries.len() as u64;
         self.take_entries(entries);
         self.commit = self.commit.max(commit.min(matched));
-        self.reply_append(from, Some(matched), sent_at);
+        self.reply_append(from, Some(matched), matched, sent_at);
     }
 
     fn take_entries(&mut self, entries: Vec<LogEntry>) {
@@ -104,21 +93,12 @@
             self.truncate_local(keep);
         }
         self.append_local(fresh.clone());
-        self.persist(PersistBatch {
-            truncate_after,
-            entries: fresh,
-            ..PersistBatch::default()
-        });
+        self.persist(PersistBatch { truncate_after, entries: fresh, ..PersistBatch::default() });
     }
 
-    fn reply_append(&mut self, to: ReplicaId, matched: Option<u64>, echo: Moment) {
-        let (term, hint) = (self.hard.term, self.log.last().index);
-        let message = ConsensusMessage::AppendReply {
-            term,
-            matched,
-            hint,
-            echo,
-        };
+    fn reply_append(&mut self, to: ReplicaId, matched: Option<u64>, hint: u64, echo: Moment) {
+        let term = self.hard.term;
+        let message = ConsensusMessage::AppendReply { term, matched, hint, echo };
         self.answer_leader(to, message);
     }
 
@@ -147,8 +127,12 @@
                 progress.next = progress.next.max(index + 1);
             }
             None => {
-                progress.next = (hint + 1).min(progress.next.saturating_sub(1)).max(1);
-                self.send_append(from, now);
+                let next = (hint + 1).max(progress.matched + 1);
+                // Of many refusals under way only one that leads further back is acted on.
+                if next < progress.next {
+                    progress.next = next;
+                    self.send_append(from, now);
+                }
             }
         }
         if matched.is_some() && self.progress_of(from).next <= last {
@@ -179,10 +163,7 @@
     }
 
     pub(crate) fn advance_commit(&mut self, now: Moment) {
-        let mut matched: Vec<u64> = self
-            .voters()
-            .map(|id| self.matched(id).unwrap_or(0))
-            .collect();
+        let mut matched: Vec<u64> = self.voters().map(|id| self.matched(id).unwrap_or(0)).collect();
         matched.sort_unstable();
         let Some(place) = matched.len().checked_sub(self.quorum()) else {
             return;
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -43,26 +43,13 @@
         let Some(term) = self.log.term_at(self.taken) else {
             return Vec::new();
         };
-        let last = super::LogPosition {
-            term,
-            index: self.taken,
-        };
+        let last = super::LogPosition { term, index: self.taken };
         let members = self.members_at(self.taken);
-        self.image = SnapshotImage {
-            meta: SnapshotMeta { last, members },
-            bytes,
-        };
-        self.log.compact_to(
-            self.taken
-                .saturating_sub(TRAILING_ENTRIES)
-                .max(self.log.base().index),
-        );
+        self.image = SnapshotImage { meta: SnapshotMeta { last, members }, bytes };
+        self.log.compact_to(self.taken.saturating_sub(TRAILING_ENTRIES).max(self.log.base().index));
         self.forget_old_members();
         self.persist_reset();
-        self.note(NodeNote::SnapshotTaken {
-            index: last.index,
-            bytes: self.image.bytes.len(),
-        });
+        self.note(NodeNote::SnapshotTaken { index: last.index, bytes: self.image.bytes.len() });
         self.take_effects()
     }
 
@@ -70,20 +57,12 @@
         let reset = Some((self.image.clone(), self.log.base()));
         let hard = Some(self.hard);
         let entries = self.log.slice(self.log.base().index + 1, usize::MAX);
-        self.persist(PersistBatch {
-            reset,
-            hard,
-            truncate_after: None,
-            entries,
-        });
+        self.persist(PersistBatch { reset, hard, truncate_after: None, entries });
     }
 
     pub(crate) fn members_at(&self, index: u64) -> super::MemberSet {
         let sets = self.member_log.iter().rev();
-        let found = sets
-            .filter(|(at, _)| *at <= index)
-            .map(|(_, set)| set.clone())
-            .next();
+        let found = sets.filter(|(at, _)| *at <= index).map(|(_, set)| set.clone()).next();
         found.unwrap_or_default()
     }
 
@@ -97,9 +76,8 @@
     pub(crate) fn send_snapshot(&mut self, to: ReplicaId, now: Moment) {
         let total = self.image.bytes.len() as u64;
         let progress = self.progress_of(to);
-        let pending = progress
-            .snapshot_sent_at
-            .is_some_and(|at| now.since(at) < CHUNK_RESEND_AFTER);
+        let pending =
+            progress.snapshot_sent_at.is_some_and(|at| now.since(at) < CHUNK_RESEND_AFTER);
         if pending && progress.snapshot_received.is_some() {
             return;
         }
@@ -109,14 +87,8 @@
         let end = (offset as usize + SNAPSHOT_CHUNK_BYTES).min(total as usize);
         let data = self.image.bytes[offset as usize..end].to_vec();
         let (term, meta) = (self.hard.term, self.image.meta.clone());
-        let message = ConsensusMessage::SnapshotChunk {
-            term,
-            meta,
-            offset,
-            total,
-            data,
-            sent_at: now,
-        };
+        let message =
+            ConsensusMessage::SnapshotChunk { term, meta, offset, total, data, sent_at: now };
         self.send_now(to, message);
     }
 
@@ -134,16 +106,9 @@
             self.reply_snapshot(from, last_index, total, sent_at);
             return;
         }
-        let current = self
-            .intake
-            .as_ref()
-            .is_some_and(|intake| intake.meta == meta);
+        let current = self.intake.as_ref().is_some_and(|intake| intake.meta == meta);
         if !current {
-            self.intake = Some(SnapshotIntake {
-                meta,
-                total,
-                bytes: Vec::new(),
-            });
+            self.intake = Some(SnapshotIntake { meta, total, bytes: Vec::new() });
         }
         let Some(intake) = &mut self.intake else {
             return;
@@ -163,10 +128,7 @@
             return;
         };
         let last = intake.meta.last;
-        let image = SnapshotImage {
-            meta: intake.meta,
-            bytes: intake.bytes,
-        };
+        let image = SnapshotImage { meta: intake.meta, bytes: intake.bytes };
         self.truncate_local(last.index.min(self.commit));
         self.log.reset(last);
         self.member_log = vec![(last.index, image.meta.members.clone())];
@@ -180,12 +142,7 @@
 
     fn reply_snapshot(&mut self, to: ReplicaId, last_index: u64, received: u64, echo: Moment) {
         let term = self.hard.term;
-        let message = ConsensusMessage::SnapshotReply {
-            term,
-            last_index,
-            received,
-            echo,
-        };
+        let message = ConsensusMessage::SnapshotReply { term, last_index, received, echo };
         self.answer_leader(to, message);
     }
 
--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -106,9 +106,7 @@
         let own = || set.entries.values().filter(|entry| entry.domain == *domain);
         self.declared = own().map(|entry| entry.name.clone()).collect();
         let others = own().filter(|entry| entry.name != self.me);
-        self.addresses = others
-            .map(|entry| (entry.name.clone(), entry.peer))
-            .collect();
+        self.addresses = others.map(|entry| (entry.name.clone(), entry.peer)).collect();
         self.peers.retain(|name, _| self.declared.contains(name));
     }
 
@@ -131,18 +129,11 @@
     /// Returns the part that this instance may use.
     pub fn share(&self, now: Moment) -> DomainShare {
         let members = self.members(now);
-        let rank = members
-            .iter()
-            .position(|name| *name == self.me)
-            .unwrap_or(0);
+        let rank = members.iter().position(|name| *name == self.me).unwrap_or(0);
         let counted = self.live(now).all(|(_, view)| view.hears_me);
         let alone = self.declared.iter().all(|name| members.contains(name));
         let settled = alone || now.since(self.fresh_since) >= PULSE_LEASE;
-        DomainShare {
-            rank: rank as u32,
-            count: members.len() as u32,
-            usable: counted && settled,
-        }
+        DomainShare { rank: rank as u32, count: members.len() as u32, usable: counted && settled }
     }
 
     /// Returns the entry that fetches the configuration for the domain, and where it listens;
@@ -180,13 +171,7 @@
         now: Moment,
     ) {
         let hears_me = hears.contains(&self.me);
-        let view = PeerView {
-            peer: sender.peer,
-            heard: now,
-            hears_me,
-            replica,
-            leaving,
-        };
+        let view = PeerView { peer: sender.peer, heard: now, hears_me, replica, leaving };
         if self.peers.insert(sender.name.clone(), view).is_none() {
             // The newcomer should not wait for the next turn to learn that it is counted.
             self.pulse_due = now;
@@ -201,9 +186,7 @@
         if gap > STANDSTILL {
             self.fresh_since = now;
             self.peers.clear();
-            effects.push(NodeEffect::Note(NodeNote::Thawed {
-                millis: gap.as_millis() as u64,
-            }));
+            effects.push(NodeEffect::Note(NodeNote::Thawed { millis: gap.as_millis() as u64 }));
         }
         let silent: Vec<InstanceName> = (self.peers.iter())
             .filter(|(_, view)| now.since(view.heard) >= PULSE_LEASE)
@@ -223,20 +206,11 @@
     fn pulses(&self, now: Moment) -> Vec<NodeEffect> {
         let hears = self.members(now);
         let (replica, leaving) = (self.my_replica, self.leaving);
-        let message = PeerMessage::Pulse {
-            hears,
-            replica,
-            leaving,
-        };
-        self.addresses
-            .values()
-            .map(|to| NodeEffect::send(*to, message.clone()))
-            .collect()
+        let message = PeerMessage::Pulse { hears, replica, leaving };
+        self.addresses.values().map(|to| NodeEffect::send(*to, message.clone())).collect()
     }
 
     fn live(&self, now: Moment) -> impl Iterator<Item = (&InstanceName, &PeerView)> {
-        self.peers
-            .iter()
-            .filter(move |(_, view)| now.since(view.heard) < PULSE_LEASE)
+        self.peers.iter().filter(move |(_, view)| now.since(view.heard) < PULSE_LEASE)
     }
 }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -85,9 +85,6 @@
 
 impl NodeEffect {
     pub(crate) fn send(to: SocketAddr, message: PeerMessage) -> Self {
-        Self::Send {
-            to,
-            message: Box::new(message),
-        }
+        Self::Send { to, message: Box::new(message) }
     }
 }
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -30,28 +30,16 @@
     /// Returns what goes with every message of this instance.
     pub fn sender(&self) -> PeerSender {
         let (name, incarnation, peer) = (self.name.clone(), self.incarnation, self.peer);
-        PeerSender {
-            name,
-            incarnation,
-            peer,
-        }
+        PeerSender { name, incarnation, peer }
     }
 
     /// Returns a message in its envelope.
     pub fn envelope(&self, message: PeerMessage) -> PeerEnvelope {
         let (deployment, sender) = (self.deployment.clone(), self.sender());
-        PeerEnvelope {
-            format: WIRE_FORMAT,
-            deployment,
-            sender,
-            message,
-        }
+        PeerEnvelope { format: WIRE_FORMAT, deployment, sender, message }
     }
 
     pub(crate) fn tally_source(&self) -> TallySource {
-        TallySource {
-            incarnation: self.incarnation,
-            entry: self.name.clone(),
-        }
+        TallySource { incarnation: self.incarnation, entry: self.name.clone() }
     }
 }
--- a/crates/core/src/ledger/audit.rs
+++ b/crates/core/src/ledger/audit.rs
@@ -79,17 +79,10 @@
 /// Returns the digest that a record must carry, from the digest before it; the record's own
 /// digest isn't looked at.
 pub fn chain_digest(previous: &str, record: &AuditRecord) -> String {
-    let bare = AuditRecord {
-        chain: String::new(),
-        ..record.clone()
-    };
+    let bare = AuditRecord { chain: String::new(), ..record.clone() };
     let bytes = postcard::to_allocvec(&bare).expect("an audit record can be encoded");
     let mut hasher = Sha256::new();
     hasher.update(previous.as_bytes());
     hasher.update(&bytes);
-    hasher
-        .finalize()
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/core/src/ledger/claims.rs
+++ b/crates/core/src/ledger/claims.rs
@@ -130,18 +130,8 @@
             return ClaimAnswer::Full;
         }
         let expires_ms = now_ms.saturating_add(command.retention_ms);
-        let ClaimCommand {
-            key, token, digest, ..
-        } = command;
-        self.insert(
-            key,
-            ClaimRecord {
-                token,
-                digest,
-                stage: ClaimStage::Held,
-                expires_ms,
-            },
-        );
+        let ClaimCommand { key, token, digest, .. } = command;
+        self.insert(key, ClaimRecord { token, digest, stage: ClaimStage::Held, expires_ms });
         ClaimAnswer::Granted
     }
 
@@ -163,25 +153,12 @@
                 let digest = record.digest;
                 let stage = ClaimStage::Released;
                 let token = token.clone();
-                self.insert(
-                    key.clone(),
-                    ClaimRecord {
-                        token,
-                        digest,
-                        stage,
-                        expires_ms,
-                    },
-                );
+                self.insert(key.clone(), ClaimRecord { token, digest, stage, expires_ms });
             }
             None => {
                 let stage = ClaimStage::Released;
                 let token = token.clone();
-                let record = ClaimRecord {
-                    token,
-                    digest: [0; 32],
-                    stage,
-                    expires_ms,
-                };
+                let record = ClaimRecord { token, digest: [0; 32], stage, expires_ms };
                 self.insert(key.clone(), record);
             }
         }
--- a/crates/core/src/ledger/publication.rs
+++ b/crates/core/src/ledger/publication.rs
@@ -77,10 +77,7 @@
         if from == self.version {
             return Some(Vec::new());
         }
-        let first = self
-            .steps
-            .iter()
-            .position(|step| step.version == from.next())?;
+        let first = self.steps.iter().position(|step| step.version == from.next())?;
         Some(self.steps.iter().skip(first).cloned().collect())
     }
 
@@ -96,26 +93,17 @@
             return answer;
         }
         let Some(delta) = command.delta else {
-            return PublishAnswer::Behind {
-                current: self.version,
-            };
+            return PublishAnswer::Behind { current: self.version };
         };
         if !command.faults.is_empty() {
-            let answer = PublishAnswer::Faulty {
-                faults: command.faults,
-            };
+            let answer = PublishAnswer::Faulty { faults: command.faults };
             self.keep_answer(command.request, answer.clone());
             return answer;
         }
         delta.apply(Arc::make_mut(&mut self.set));
         self.version = self.version.next();
-        self.keep_step(VersionStep {
-            version: self.version,
-            delta,
-        });
-        let answer = PublishAnswer::Accepted {
-            version: self.version,
-        };
+        self.keep_step(VersionStep { version: self.version, delta });
+        let answer = PublishAnswer::Accepted { version: self.version };
         self.keep_answer(command.request, answer.clone());
         answer
     }
@@ -124,10 +112,7 @@
         let steps = self.steps_since(base).unwrap_or_default();
         let lines = steps.iter().flat_map(|step| step.delta.summary());
         let changed = lines.take(CHANGED_LINES_MAX).collect();
-        PublishAnswer::Conflict {
-            current: self.version,
-            changed,
-        }
+        PublishAnswer::Conflict { current: self.version, changed }
     }
 
     fn keep_step(&mut self, step: VersionStep) {
@@ -154,39 +139,15 @@
 
 impl From<StoredBook> for PublicationBook {
     fn from(book: StoredBook) -> Self {
-        let StoredBook {
-            version,
-            set,
-            steps,
-            answers,
-            answer_order,
-        } = book;
-        Self {
-            version,
-            set: Arc::new(set),
-            steps,
-            answers,
-            answer_order,
-        }
+        let StoredBook { version, set, steps, answers, answer_order } = book;
+        Self { version, set: Arc::new(set), steps, answers, answer_order }
     }
 }
 
 impl From<PublicationBook> for StoredBook {
     fn from(book: PublicationBook) -> Self {
-        let PublicationBook {
-            version,
-            set,
-            steps,
-            answers,
-            answer_order,
-        } = book;
+        let PublicationBook { version, set, steps, answers, answer_order } = book;
         let set = Arc::unwrap_or_clone(set);
-        Self {
-            version,
-            set,
-            steps,
-            answers,
-            answer_order,
-        }
+        Self { version, set, steps, answers, answer_order }
     }
 }
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -170,11 +170,7 @@
             format!("{} {part} {id}", member.name)
         };
         let changed = members.iter().map(line).collect();
-        let draft = AuditDraft {
-            action: AuditAction::Members,
-            changed,
-            ..self.draft()
-        };
+        let draft = AuditDraft { action: AuditAction::Members, changed, ..self.draft() };
         self.audit.push(draft);
     }
 
@@ -184,10 +180,7 @@
         }
         let from = self.version();
         let (request, operator) = (command.request.clone(), command.operator.clone());
-        let changed = command
-            .delta
-            .as_ref()
-            .map_or(Vec::new(), |delta| delta.summary());
+        let changed = command.delta.as_ref().map_or(Vec::new(), |delta| delta.summary());
         let answer = self.publications.publish(command);
         let action = match &answer {
             PublishAnswer::Accepted { .. } => AuditAction::Accepted,
@@ -195,27 +188,15 @@
             PublishAnswer::Conflict { .. } => AuditAction::Conflict,
             _ => return answer,
         };
-        let draft = AuditDraft {
-            at_ms: now_ms,
-            operator,
-            request,
-            action,
-            changed,
-            from,
-            ..self.draft()
-        };
+        let draft =
+            AuditDraft { at_ms: now_ms, operator, request, action, changed, from, ..self.draft() };
         self.audit.push(draft);
         answer
     }
 
     fn record_unauthorised(&mut self, now_ms: u64, request: RequestTag) {
         let action = AuditAction::Unauthorised;
-        let draft = AuditDraft {
-            at_ms: now_ms,
-            request,
-            action,
-            ..self.draft()
-        };
+        let draft = AuditDraft { at_ms: now_ms, request, action, ..self.draft() };
         self.audit.push(draft);
     }
 
--- a/crates/core/src/ledger/tallies.rs
+++ b/crates/core/src/ledger/tallies.rs
@@ -66,10 +66,7 @@
 impl TallyBook {
     /// Returns the tallies of one month, or of all.
     pub fn lines(&self, month: Option<u32>) -> Vec<TallyLine> {
-        let wanted = self
-            .sums
-            .iter()
-            .filter(|(key, _)| month.is_none_or(|m| m == key.month));
+        let wanted = self.sums.iter().filter(|(key, _)| month.is_none_or(|m| m == key.month));
         wanted
             .map(|(key, count)| TallyLine {
                 month: key.month,
@@ -82,10 +79,7 @@
     }
 
     pub(crate) fn take_in(&mut self, report: TallyReport) {
-        let oldest = self
-            .sources
-            .first_key_value()
-            .map(|(source, _)| source.clone());
+        let oldest = self.sources.first_key_value().map(|(source, _)| source.clone());
         let full = self.sources.len() >= SOURCES_KEPT;
         if full && oldest.is_some_and(|oldest| report.source < oldest) {
             return;
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -129,59 +129,23 @@
     pub const CATALOGUE: &[(u16, NoteLevel, &str)] = &[
         (100, NoteLevel::Info, "the process serves"),
         (101, NoteLevel::Info, "a planned stop began"),
-        (
-            102,
-            NoteLevel::Info,
-            "the process ends after a planned stop",
-        ),
+        (102, NoteLevel::Info, "the process ends after a planned stop"),
         (110, NoteLevel::Info, "a version came into force"),
-        (
-            111,
-            NoteLevel::Warn,
-            "the wait for a confirmed version ended with what was there",
-        ),
-        (
-            112,
-            NoteLevel::Warn,
-            "no quorum has confirmed the version for a while",
-        ),
+        (111, NoteLevel::Warn, "the wait for a confirmed version ended with what was there"),
+        (112, NoteLevel::Warn, "no quorum has confirmed the version for a while"),
         (113, NoteLevel::Info, "a quorum confirms the version again"),
         (120, NoteLevel::Info, "this replica leads"),
-        (
-            121,
-            NoteLevel::Warn,
-            "this replica no longer leads, for want of a quorum",
-        ),
+        (121, NoteLevel::Warn, "this replica no longer leads, for want of a quorum"),
         (122, NoteLevel::Info, "a snapshot was taken"),
-        (
-            123,
-            NoteLevel::Info,
-            "a snapshot from the leader replaced the ledger",
-        ),
+        (123, NoteLevel::Info, "a snapshot from the leader replaced the ledger"),
         (124, NoteLevel::Info, "a learner got a vote"),
-        (
-            125,
-            NoteLevel::Warn,
-            "a new data folder replaces an older one of the same instance",
-        ),
-        (
-            130,
-            NoteLevel::Warn,
-            "a message from another deployment or format was dropped",
-        ),
+        (125, NoteLevel::Warn, "a new data folder replaces an older one of the same instance"),
+        (130, NoteLevel::Warn, "a message from another deployment or format was dropped"),
         (140, NoteLevel::Warn, "a target is shut out after failures"),
         (141, NoteLevel::Info, "a target gets work again"),
         (142, NoteLevel::Info, "a target leaves and gets no new work"),
-        (
-            150,
-            NoteLevel::Warn,
-            "this process stood still and starts over with its shares",
-        ),
-        (
-            151,
-            NoteLevel::Warn,
-            "another entry of the failure domain went silent",
-        ),
+        (150, NoteLevel::Warn, "this process stood still and starts over with its shares"),
+        (151, NoteLevel::Warn, "another entry of the failure domain went silent"),
         (160, NoteLevel::Warn, "an address is taken"),
         (161, NoteLevel::Warn, "the disk refused a write"),
         (162, NoteLevel::Warn, "the list of instances can't be read"),
@@ -218,17 +182,13 @@
     /// Returns how much the event matters.
     pub fn level(&self) -> NoteLevel {
         let code = self.code();
-        let line = Self::CATALOGUE
-            .iter()
-            .find(|(number, _, _)| *number == code);
+        let line = Self::CATALOGUE.iter().find(|(number, _, _)| *number == code);
         line.map_or(NoteLevel::Warn, |(_, level, _)| *level)
     }
 
     fn text(&self) -> &'static str {
         let code = self.code();
-        let line = Self::CATALOGUE
-            .iter()
-            .find(|(number, _, _)| *number == code);
+        let line = Self::CATALOGUE.iter().find(|(number, _, _)| *number == code);
         line.map_or("", |(_, _, text)| text)
     }
 }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -134,24 +134,22 @@
         random: Pcg32,
     ) -> Self {
         let name = identity.name.clone();
-        let replicas: BTreeMap<GroupId, ReplicaNode> = replica
-            .map(|replica| (GroupId::default(), replica))
-            .into_iter()
-            .collect();
+        let replicas: BTreeMap<GroupId, ReplicaNode> =
+            replica.map(|replica| (GroupId::default(), replica)).into_iter().collect();
         Self {
             peers: DomainPeers::new(name.clone(), !replicas.is_empty(), now),
             config: ConfigCopy::new(name, now),
-            identity,
             seeds,
             replicas,
             caps: DomainCaps::default(),
             index: SteeringIndex::default(),
             targets: TargetBoard::default(),
             requests: RequestBook::default(),
-            submits: SubmitBook::default(),
+            submits: SubmitBook::new(identity.incarnation),
             tally_due: now,
             tally_under_way: false,
             random,
+            identity,
         }
     }
 
@@ -204,20 +202,11 @@
                 !self.config.is_absent(&line.name)
             }
         });
-        let shortest = set
-            .services
-            .values()
-            .map(|service| service.lookup_ttl_ms)
-            .min();
+        let shortest = set.services.values().map(|service| service.lookup_ttl_ms).min();
         let ttl_ms = shortest.unwrap_or(LOOKUP_TTL_DEFAULT_MS);
         let age = self.config.confirmed_age(now);
         let confirmed_age_ms = age.map(|age| age.as_millis() as u64);
-        Some(LookupAnswer {
-            entries,
-            ttl_ms,
-            version,
-            confirmed_age_ms,
-        })
+        Some(LookupAnswer { entries, ttl_ms, version, confirmed_age_ms })
     }
 
     /// Books bytes on the link to a region, and returns how long to wait before sending them.
@@ -271,10 +260,7 @@
     }
 
     fn tick_config(&mut self, now: Moment) -> Vec<NodeEffect> {
-        let group = self
-            .replicas
-            .get(&GroupId::default())
-            .map(|replica| replica.group());
+        let group = self.replicas.get(&GroupId::default()).map(|replica| replica.group());
         let is_leader = group.is_some_and(|group| group.is_leader());
         let upstream = UpstreamChoice {
             leader: group.and_then(|group| group.leader_peer()),
@@ -287,9 +273,7 @@
         let mut effects = self.config.tick(upstream, leaving, now);
         let confirmed = group.and_then(|group| group.confirmed_at(now));
         let own = self.replica().is_some_and(|replica| {
-            replica
-                .settled_config()
-                .is_some_and(|(version, _)| version == self.config.held())
+            replica.settled_config().is_some_and(|(version, _)| version == self.config.held())
         });
         if let (Some(at), true) = (confirmed, own) {
             effects.extend(self.config.confirm_own(at, leaving, now));
@@ -309,14 +293,9 @@
         if version <= held {
             return Vec::new();
         }
-        let steps = replica
-            .ledger()
-            .publications()
-            .steps_since(held)
-            .unwrap_or_default();
+        let steps = replica.ledger().publications().steps_since(held).unwrap_or_default();
         let confirmed = replica.group().confirmed_at(clock.now);
-        self.config
-            .adopt_own(version, set, steps, confirmed, clock.now)
+        self.config.adopt_own(version, set, steps, confirmed, clock.now)
     }
 
     /// Makes anew what is derived from the configuration, when it changed.
@@ -334,26 +313,14 @@
     }
 
     fn receive(&mut self, envelope: PeerEnvelope, clock: ClockReading) -> Vec<NodeEffect> {
-        let PeerEnvelope {
-            deployment,
-            sender,
-            message,
-            ..
-        } = envelope;
+        let PeerEnvelope { deployment, sender, message, .. } = envelope;
         if deployment != self.identity.deployment {
-            return vec![NodeEffect::Note(NodeNote::ForeignPeer {
-                sender: sender.name,
-            })];
+            return vec![NodeEffect::Note(NodeNote::ForeignPeer { sender: sender.name })];
         }
         let now = clock.now;
         let is_replica = !self.replicas.is_empty();
         match message {
-            PeerMessage::Consensus {
-                group,
-                from,
-                to,
-                message,
-            } => {
+            PeerMessage::Consensus { group, from, to, message } => {
                 let Some(replica) = self.replicas.get_mut(&group) else {
                     return Vec::new();
                 };
@@ -382,23 +349,13 @@
             PeerMessage::ConfigPoll { have, reports } => {
                 self.config.hear_poll(&sender, have, reports, now)
             }
-            PeerMessage::ConfigSteps {
-                from,
-                steps,
-                notice,
-            } => self.config.take_steps(from, steps, notice, is_replica, now),
-            PeerMessage::ConfigWhole {
-                version,
-                set,
-                notice,
-            } => self
-                .config
-                .take_whole(version, set, notice, is_replica, now),
-            PeerMessage::Pulse {
-                hears,
-                replica,
-                leaving,
-            } => {
+            PeerMessage::ConfigSteps { from, steps, notice } => {
+                self.config.take_steps(from, steps, notice, is_replica, now)
+            }
+            PeerMessage::ConfigWhole { version, set, notice } => {
+                self.config.take_whole(version, set, notice, is_replica, now)
+            }
+            PeerMessage::Pulse { hears, replica, leaving } => {
                 self.hear_pulse(&sender, &hears, replica, leaving, now);
                 Vec::new()
             }
@@ -423,19 +380,12 @@
         clock: ClockReading,
     ) -> Vec<NodeEffect> {
         match call {
-            OperatorCall::Publish {
-                request,
-                operator,
-                base,
-                set,
-            } => self.publish(ticket, request, operator, base, &set, clock.now),
+            OperatorCall::Publish { request, operator, base, set } => {
+                self.publish(ticket, request, operator, base, &set, clock.now)
+            }
             OperatorCall::ReplicaInit => {
                 let name = self.identity.name.clone();
-                let member = ReplicaMember {
-                    name,
-                    peer: self.identity.peer,
-                    voter: true,
-                };
+                let member = ReplicaMember { name, peer: self.identity.peer, voter: true };
                 self.change_replicas(ticket, |replica| replica.init(member, clock.now))
             }
             OperatorCall::ReplicaAdd(name) => self.change_replicas(ticket, |replica| {
@@ -459,33 +409,21 @@
         let known = operator.is_some();
         let current = self.config.version() == Some(base);
         let delta = current.then(|| SetDelta::between(self.config.set(), set));
-        let publish = PublishCommand {
-            request,
-            operator,
-            base,
-            delta,
-            faults: Vec::new(),
-        };
+        let publish = PublishCommand { request, operator, base, delta, faults: Vec::new() };
         let command = if known {
             LedgerCommand::Publish(publish)
         } else {
-            LedgerCommand::Unauthorised {
-                request: publish.request,
-            }
+            LedgerCommand::Unauthorised { request: publish.request }
         };
         let purpose = SubmitPurpose::Operator(ticket);
-        self.submits
-            .submit(command, purpose, PUBLISH_PATIENCE, &self.seeds, now)
+        self.submits.submit(command, purpose, PUBLISH_PATIENCE, &self.seeds, now)
     }
 
     fn change_replicas<F>(&mut self, ticket: ReplyTicket, change: F) -> Vec<NodeEffect>
     where
         F: FnOnce(&mut ReplicaNode) -> Result<Vec<NodeEffect>, MemberRefusal>,
     {
-        let reply = |answer| NodeEffect::Reply {
-            ticket,
-            reply: OperatorReply::Replica(answer),
-        };
+        let reply = |answer| NodeEffect::Reply { ticket, reply: OperatorReply::Replica(answer) };
         let Some(replica) = self.replicas.get_mut(&GroupId::default()) else {
             return vec![reply(ReplicaAnswer::NoFolder)];
         };
@@ -513,10 +451,7 @@
                     Some(_) => PublishAnswer::Unauthorised,
                     None => PublishAnswer::Unknown,
                 };
-                vec![NodeEffect::Reply {
-                    ticket,
-                    reply: OperatorReply::Publish(answer),
-                }]
+                vec![NodeEffect::Reply { ticket, reply: OperatorReply::Publish(answer) }]
             }
             SubmitPurpose::Claim(id) => self.with_requests(clock, |requests, ctx| {
                 requests.claim_ended(id, command.outcome, ctx)
@@ -542,13 +477,7 @@
         };
         self.tally_under_way = true;
         let command = LedgerCommand::Tally(report);
-        self.submits.submit(
-            command,
-            SubmitPurpose::Tally,
-            TALLY_PATIENCE,
-            &self.seeds,
-            now,
-        )
+        self.submits.submit(command, SubmitPurpose::Tally, TALLY_PATIENCE, &self.seeds, now)
     }
 
     fn stop(&mut self, clock: ClockReading) -> Vec<NodeEffect> {
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -7,7 +7,7 @@
         clock::{ClockReading, Moment},
         consensus::{
             ConsensusEffect, ConsensusGroup, ConsensusMessage, GroupId, LogEntry, LogPayload,
-            MemberRefusal, ReplicaId, ReplicaMember, RestoredLog,
+            LogPosition, MemberRefusal, ReplicaId, ReplicaMember, RestoredLog,
         },
         effect::{DiskEffect, NodeEffect},
         ledger::{LedgerCommand, LedgerError, LedgerState},
@@ -49,7 +49,8 @@
     id: GroupId,
     group: ConsensusGroup,
     ledger: LedgerState,
-    origins: BTreeMap<u64, SubmitOrigin>,
+    /// By the place of the entry: another leader may put another command at the same index.
+    origins: BTreeMap<LogPosition, SubmitOrigin>,
     askers: BTreeMap<InstanceName, JoinAsker>,
     /// The index of the last publication applied.
     published_at: u64,
@@ -109,13 +110,8 @@
         let mut effects = self.pump(effects);
         if self.group.is_blank() && clock.now >= self.join_due {
             self.join_due = clock.now.after(JOIN_EVERY);
-            let message = PeerMessage::Join {
-                group: self.id,
-                id: self.group.me(),
-            };
-            let sends = seeds
-                .iter()
-                .map(|to| NodeEffect::send(*to, message.clone()));
+            let message = PeerMessage::Join { group: self.id, id: self.group.me() };
+            let sends = seeds.iter().map(|to| NodeEffect::send(*to, message.clone()));
             effects.extend(sends);
         }
         effects
@@ -149,25 +145,15 @@
         sender: &PeerSender,
         now: Moment,
     ) -> Vec<NodeEffect> {
-        let asker = JoinAsker {
-            id,
-            peer: sender.peer,
-            heard: now,
-        };
+        let asker = JoinAsker { id, peer: sender.peer, heard: now };
         self.askers.insert(sender.name.clone(), asker);
-        let replaces = self
-            .group
-            .members()
-            .values()
-            .any(|member| member.name == sender.name);
+        let replaces = self.group.members().values().any(|member| member.name == sender.name);
         if !replaces || self.group.members().contains_key(&id) {
             return Vec::new();
         }
         let mut effects = Vec::new();
         if self.add(&sender.name, now).is_ok() {
-            let note = NodeNote::ReplicaReplaced {
-                name: sender.name.clone(),
-            };
+            let note = NodeNote::ReplicaReplaced { name: sender.name.clone() };
             effects.push(NodeEffect::Note(note));
         }
         let raised = self.group.take_effects();
@@ -189,27 +175,12 @@
         if !self.group.is_leader() {
             return Err(MemberRefusal::NotLeader);
         }
-        let asker = self
-            .askers
-            .get(name)
-            .filter(|asker| now.since(asker.heard) < JOIN_STANDS);
+        let asker = self.askers.get(name).filter(|asker| now.since(asker.heard) < JOIN_STANDS);
         let Some(asker) = asker.cloned() else {
-            let known = self
-                .group
-                .members()
-                .values()
-                .any(|member| member.name == *name);
-            return if known {
-                Ok(())
-            } else {
-                Err(MemberRefusal::NotKnown)
-            };
-        };
-        let member = ReplicaMember {
-            name: name.clone(),
-            peer: asker.peer,
-            voter: false,
+            let known = self.group.members().values().any(|member| member.name == *name);
+            return if known { Ok(()) } else { Err(MemberRefusal::NotKnown) };
         };
+        let member = ReplicaMember { name: name.clone(), peer: asker.peer, voter: false };
         self.group.add_learner(asker.id, member, now)
     }
 
@@ -237,23 +208,14 @@
         clock: ClockReading,
     ) -> Vec<NodeEffect> {
         let command = self.checked(command);
-        let payload = LogPayload::Command {
-            at_ms: clock.wall_ms,
-            command,
-        };
-        let Some(index) = self.group.propose(payload, clock.now) else {
+        let payload = LogPayload::Command { at_ms: clock.wall_ms, command };
+        let Some(position) = self.group.propose(payload, clock.now) else {
             let leader = self.group.leader_peer();
             let answer = SubmitAnswer::NotLeader { leader };
             let message = PeerMessage::Submitted { id, answer };
             return vec![NodeEffect::send(sender.peer, message)];
         };
-        self.origins.insert(
-            index,
-            SubmitOrigin {
-                peer: sender.peer,
-                id,
-            },
-        );
+        self.origins.insert(position, SubmitOrigin { peer: sender.peer, id });
         self.drain_effects()
     }
 
@@ -285,6 +247,8 @@
         for entry in self.group.take_committed() {
             out.extend(self.apply(entry));
         }
+        let applied = self.group.commit();
+        self.origins.retain(|position, _| position.index > applied);
         if self.published_at > before {
             let marks = self.group.mark_commit();
             self.translate(marks, &mut out);
@@ -300,20 +264,12 @@
         let group = self.id;
         let from = self.group.me();
         out.extend(effects.into_iter().map(|effect| match effect {
-            ConsensusEffect::Send { peer, to, message } => NodeEffect::send(
-                peer,
-                PeerMessage::Consensus {
-                    group,
-                    from,
-                    to,
-                    message,
-                },
-            ),
-            ConsensusEffect::Persist { ticket, batch } => NodeEffect::Disk(DiskEffect {
-                group,
-                ticket,
-                batch,
-            }),
+            ConsensusEffect::Send { peer, to, message } => {
+                NodeEffect::send(peer, PeerMessage::Consensus { group, from, to, message })
+            }
+            ConsensusEffect::Persist { ticket, batch } => {
+                NodeEffect::Disk(DiskEffect { group, ticket, batch })
+            }
             ConsensusEffect::Note(note) => NodeEffect::Note(note),
         }));
     }
@@ -332,12 +288,9 @@
                 if self.ledger.version() > before {
                     self.published_at = index;
                 }
-                let origin = self.origins.remove(&index)?;
+                let origin = self.origins.remove(&entry.position)?;
                 let answer = SubmitAnswer::Done(outcome);
-                let message = PeerMessage::Submitted {
-                    id: origin.id,
-                    answer,
-                };
+                let message = PeerMessage::Submitted { id: origin.id, answer };
                 Some(NodeEffect::send(origin.peer, message))
             }
         }
--- a/crates/core/src/requests/book.rs
+++ b/crates/core/src/requests/book.rs
@@ -155,11 +155,9 @@
     ) -> Vec<NodeEffect> {
         match event {
             RequestEvent::Arrived(intake) => self.arrive(*intake, ctx),
-            RequestEvent::AttemptEnded {
-                id,
-                attempt,
-                result,
-            } => self.attempt_ended(id, attempt, result, ctx),
+            RequestEvent::AttemptEnded { id, attempt, result } => {
+                self.attempt_ended(id, attempt, result, ctx)
+            }
             RequestEvent::Closed { id } => self.close(id, ctx),
         }
     }
@@ -175,11 +173,7 @@
         let claims = never && !request.intake.forwarded;
         self.retries.earn();
         self.open.insert(id, request);
-        if claims {
-            self.start_claim(id, ctx)
-        } else {
-            self.place(id, ctx)
-        }
+        if claims { self.start_claim(id, ctx) } else { self.place(id, ctx) }
     }
 
     fn admit(
@@ -191,15 +185,8 @@
             return Err(RefusalReason::NoConfiguration);
         }
         let set = ctx.config.set();
-        let service = set
-            .services
-            .get(&intake.service)
-            .ok_or(RefusalReason::NoSuchKind)?;
-        let policy = service
-            .kinds
-            .get(&intake.kind)
-            .ok_or(RefusalReason::NoSuchKind)?
-            .clone();
+        let service = set.services.get(&intake.service).ok_or(RefusalReason::NoSuchKind)?;
+        let policy = service.kinds.get(&intake.kind).ok_or(RefusalReason::NoSuchKind)?.clone();
         if intake.body_bytes > policy.request_bytes {
             return Err(RefusalReason::BodyTooLarge);
         }
@@ -254,16 +241,10 @@
         let digest = request.intake.digest;
         let retention_ms = request.policy.retention_ms;
         let left = request.deadline_at.since(ctx.clock.now);
-        let command = LedgerCommand::Claim(ClaimCommand {
-            key,
-            token,
-            digest,
-            retention_ms,
-        });
+        let command = LedgerCommand::Claim(ClaimCommand { key, token, digest, retention_ms });
         let patience = CLAIM_PATIENCE.min(left);
         let purpose = SubmitPurpose::Claim(id);
-        ctx.submits
-            .submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
+        ctx.submits.submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
     }
 
     /// Goes on with a request whose claim came back, or ran out of time.
@@ -282,20 +263,11 @@
             Some(LedgerOutcome::Claimed(ClaimAnswer::Granted)) => self.place(id, ctx),
             Some(LedgerOutcome::Claimed(ClaimAnswer::Settled(answer))) => {
                 self.forget_claim(id);
-                vec![NodeEffect::Request {
-                    id,
-                    order: RequestOrder::Replay(answer),
-                }]
+                vec![NodeEffect::Request { id, order: RequestOrder::Replay(answer) }]
             }
             Some(LedgerOutcome::Claimed(ClaimAnswer::Open)) => {
                 self.forget_claim(id);
-                self.give_up(
-                    id,
-                    R::ClaimOpen,
-                    RunOutcome::Unknown,
-                    Some(CLAIM_RETRY),
-                    ctx,
-                )
+                self.give_up(id, R::ClaimOpen, RunOutcome::Unknown, Some(CLAIM_RETRY), ctx)
             }
             Some(LedgerOutcome::Claimed(ClaimAnswer::KeyReused)) => {
                 self.forget_claim(id);
@@ -326,11 +298,7 @@
         let Some(request) = self.open.get_mut(&id) else {
             return Vec::new();
         };
-        let RequestStage::Running {
-            attempt: current,
-            place,
-        } = &request.stage
-        else {
+        let RequestStage::Running { attempt: current, place } = &request.stage else {
             return Vec::new();
         };
         if *current != attempt {
@@ -428,9 +396,7 @@
         if let AttemptPlace::Local { target } = place {
             ctx.targets.shed(target, ctx.clock.now);
         }
-        let pause = retry_after
-            .unwrap_or_default()
-            .clamp(REMOTE_FULL_PAUSE, REMOTE_PAUSE);
+        let pause = retry_after.unwrap_or_default().clamp(REMOTE_FULL_PAUSE, REMOTE_PAUSE);
         self.avoid(id, place, pause, ctx);
         self.try_again(id, false, ctx)
     }
@@ -451,13 +417,7 @@
         effects.extend(if again {
             self.try_again(id, false, ctx)
         } else {
-            self.give_up(
-                id,
-                RefusalReason::AttemptFailed,
-                RunOutcome::Unknown,
-                None,
-                ctx,
-            )
+            self.give_up(id, RefusalReason::AttemptFailed, RunOutcome::Unknown, None, ctx)
         });
         effects
     }
@@ -507,11 +467,7 @@
             self.counts.retries += u64::from(!free_of_charge);
             return self.place(id, ctx);
         }
-        let outcome = if request.maybe_ran {
-            RunOutcome::Unknown
-        } else {
-            RunOutcome::NotRun
-        };
+        let outcome = if request.maybe_ran { RunOutcome::Unknown } else { RunOutcome::NotRun };
         let reason = match outcome {
             RunOutcome::Unknown => RefusalReason::AttemptFailed,
             _ => RefusalReason::Overloaded,
@@ -552,11 +508,7 @@
         ctx: &mut RequestContext<'_>,
     ) -> Vec<NodeEffect> {
         let maybe_ran = self.open.get(&id).is_some_and(|request| request.maybe_ran);
-        let outcome = if maybe_ran {
-            RunOutcome::Unknown
-        } else {
-            outcome
-        };
+        let outcome = if maybe_ran { RunOutcome::Unknown } else { outcome };
         let mut effects = Vec::new();
         if outcome == RunOutcome::NotRun {
             effects.extend(self.release_claim(id, ctx));
@@ -567,10 +519,7 @@
     }
 
     fn release_claim(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
-        let claim = self
-            .open
-            .get_mut(&id)
-            .and_then(|request| request.claim.take());
+        let claim = self.open.get_mut(&id).and_then(|request| request.claim.take());
         let Some((key, token)) = claim else {
             return Vec::new();
         };
@@ -586,23 +535,14 @@
     ) -> NodeEffect {
         *self.counts.refused.entry(reason).or_default() += 1;
         let retry_after_ms = retry_after.unwrap_or(RETRY_DEFAULT).as_millis() as u64;
-        let body = RefusalBody {
-            reason,
-            outcome,
-            retry_after_ms,
-        };
-        NodeEffect::Request {
-            id,
-            order: RequestOrder::Refuse(body),
-        }
+        let body = RefusalBody { reason, outcome, retry_after_ms };
+        NodeEffect::Request { id, order: RequestOrder::Refuse(body) }
     }
 
     /// Returns how long a kind takes to answer; none before its first answer.
     pub(super) fn kind_time(&self, request: &OpenRequest) -> Option<Duration> {
         let key = (request.intake.service.clone(), request.intake.kind.clone());
-        self.kind_times
-            .get(&key)
-            .map(|us| Duration::from_micros(*us as u64))
+        self.kind_times.get(&key).map(|us| Duration::from_micros(*us as u64))
     }
 
     /// Marks an attempt as under way, and returns the order for it.
@@ -616,24 +556,12 @@
         let request = self.open.get_mut(&id)?;
         request.attempts += 1;
         let attempt = request.attempts;
-        request.stage = RequestStage::Running {
-            attempt,
-            place: place.clone(),
-        };
+        request.stage = RequestStage::Running { attempt, place: place.clone() };
         *self.by_caller.entry(request.caller.clone()).or_default() += 1;
         let budget = request.deadline_at.since(ctx.clock.now);
         let valid_until = ctx.share_valid_until;
-        let order = DispatchOrder {
-            attempt,
-            place,
-            address,
-            budget,
-            valid_until,
-        };
-        Some(NodeEffect::Request {
-            id,
-            order: RequestOrder::Dispatch(order),
-        })
+        let order = DispatchOrder { attempt, place, address, budget, valid_until };
+        Some(NodeEffect::Request { id, order: RequestOrder::Dispatch(order) })
     }
 
     /// Returns the totals for a report, if they changed since the last one.
@@ -642,15 +570,8 @@
             return None;
         }
         self.tallies_changed = false;
-        let totals = self
-            .tallies
-            .iter()
-            .map(|(key, count)| (key.clone(), *count))
-            .collect();
-        Some(TallyReport {
-            source: identity.tally_source(),
-            totals,
-        })
+        let totals = self.tallies.iter().map(|(key, count)| (key.clone(), *count)).collect();
+        Some(TallyReport { source: identity.tally_source(), totals })
     }
 
     /// Says that the last report got lost.
@@ -670,10 +591,7 @@
         let Some((link, rate)) = caps.link_rate(to, share) else {
             return Duration::ZERO;
         };
-        self.links
-            .entry(link.clone())
-            .or_default()
-            .book(bytes, rate, now)
+        self.links.entry(link.clone()).or_default().book(bytes, rate, now)
     }
 }
 
@@ -689,6 +607,5 @@
 
 fn record(command: LedgerCommand, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
     let (purpose, patience) = (SubmitPurpose::Record, RECORD_PATIENCE);
-    ctx.submits
-        .submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
+    ctx.submits.submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
 }
--- a/crates/core/src/requests/limits.rs
+++ b/crates/core/src/requests/limits.rs
@@ -27,11 +27,7 @@
     /// holds more than the ceiling.
     pub fn has_room(&mut self, ceiling: u64, window: Duration, now: Moment) -> bool {
         let stands = window + window / WINDOW_PIECES;
-        while self
-            .pieces
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > stands)
-        {
+        while self.pieces.front().is_some_and(|(at, _)| now.since(*at) > stands) {
             self.pieces.pop_front();
         }
         let count: u64 = self.pieces.iter().map(|(_, count)| count).sum();
--- a/crates/core/src/requests/place.rs
+++ b/crates/core/src/requests/place.rs
@@ -99,11 +99,7 @@
             }
             break;
         }
-        if self
-            .queues
-            .get(service)
-            .is_some_and(|queue| queue.len() == 0)
-        {
+        if self.queues.get(service).is_some_and(|queue| queue.len() == 0) {
             self.queues.remove(service);
         }
         effects
@@ -125,11 +121,8 @@
             if !late && ctx.clock.now.since(since) < WAIT_MAX {
                 continue;
             }
-            let reason = if late {
-                RefusalReason::DeadlineTooShort
-            } else {
-                RefusalReason::Overloaded
-            };
+            let reason =
+                if late { RefusalReason::DeadlineTooShort } else { RefusalReason::Overloaded };
             if let Some(queue) = self.queues.get_mut(&request.intake.service.clone()) {
                 queue.remove(id);
             }
@@ -149,18 +142,10 @@
             return Ok(());
         };
         let running = self.by_caller.get(&request.caller).copied().unwrap_or(0);
-        let waiting: usize = self
-            .queues
-            .values()
-            .map(|q| q.caller_len(&request.caller))
-            .sum();
+        let waiting: usize = self.queues.values().map(|q| q.caller_len(&request.caller)).sum();
         let own = u64::from(running) + waiting as u64;
         let salt = caller_hash(request.intake.caller);
-        if own < ctx.share.of(ceiling, salt) {
-            Ok(())
-        } else {
-            Err(RefusalReason::CallerOverShare)
-        }
+        if own < ctx.share.of(ceiling, salt) { Ok(()) } else { Err(RefusalReason::CallerOverShare) }
     }
 
     fn run_here(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Option<NodeEffect> {
@@ -170,13 +155,9 @@
         let request = self.open.get(&id)?;
         let (service, tried) = (request.intake.service.clone(), request.tried.clone());
         let now = ctx.clock.now;
-        let target = ctx
-            .targets
-            .choose(&service, &tried, ctx.share, ctx.random, now)?;
+        let target = ctx.targets.choose(&service, &tried, ctx.share, ctx.random, now)?;
         self.count_shift(id, ctx);
-        let place = AttemptPlace::Local {
-            target: target.name,
-        };
+        let place = AttemptPlace::Local { target: target.name };
         self.start(id, place, target.address, ctx)
     }
 
@@ -188,10 +169,7 @@
     ) -> Vec<NodeEffect> {
         self.counts.forwarded += 1;
         let RemoteOption { entry, link, .. } = remote;
-        let place = AttemptPlace::Remote {
-            entry: entry.name,
-            link,
-        };
+        let place = AttemptPlace::Remote { entry: entry.name, link };
         self.start(id, place, entry.http, ctx).into_iter().collect()
     }
 
@@ -199,19 +177,9 @@
         let Some(request) = self.open.get_mut(&id) else {
             return Vec::new();
         };
-        request.stage = RequestStage::Queued {
-            since: ctx.clock.now,
-        };
-        let queue = self
-            .queues
-            .entry(request.intake.service.clone())
-            .or_default();
-        queue.push(
-            &request.intake.kind,
-            request.policy.weight,
-            &request.caller,
-            id,
-        );
+        request.stage = RequestStage::Queued { since: ctx.clock.now };
+        let queue = self.queues.entry(request.intake.service.clone()).or_default();
+        queue.push(&request.intake.kind, request.policy.weight, &request.caller, id);
         Vec::new()
     }
 
@@ -312,8 +280,7 @@
             let home = request.foreign && request.home.as_ref() == Some(domain);
             (Reverse(home), Reverse(near(domain)), spread(domain))
         });
-        open.into_iter()
-            .find_map(|domain| self.entry_in(domain, near(domain), request, ctx))
+        open.into_iter().find_map(|domain| self.entry_in(domain, near(domain), request, ctx))
     }
 
     fn is_paused(
@@ -337,21 +304,13 @@
         let serves = |line: &hemlockspool_model::api::LookupEntry| {
             line.domain == *domain && !ctx.config.is_absent(&line.name)
         };
-        let first = ctx
-            .index
-            .answer(domain, request.intake.caller, serves)
-            .into_iter()
-            .next()?;
+        let first = ctx.index.answer(domain, request.intake.caller, serves).into_iter().next()?;
         if first.domain != *domain {
             return None;
         }
         let entry = set.entries.get(&first.name)?.clone();
         if near {
-            return Some(RemoteOption {
-                entry,
-                link: None,
-                cost: NEAR_COST,
-            });
+            return Some(RemoteOption { entry, link: None, cost: NEAR_COST });
         }
         let region = set.region_of(domain)?;
         let link = ctx.caps.links.get(region).map(|part| part.link.clone());
@@ -359,11 +318,7 @@
             let pacer = self.links.get(link);
             pacer.is_none_or(|pacer| pacer.backlog(ctx.clock.now) < LINK_BACKLOG_MAX)
         });
-        free.then_some(RemoteOption {
-            entry,
-            link,
-            cost: FAR_COST,
-        })
+        free.then_some(RemoteOption { entry, link, cost: FAR_COST })
     }
 
     fn why_nowhere(
@@ -380,9 +335,6 @@
             return (RefusalReason::NoTarget, Duration::from_secs(1));
         }
         let wait = ctx.targets.service_time(service) * WAITING_PER_SLOT as u32;
-        (
-            RefusalReason::Overloaded,
-            wait.max(Duration::from_millis(50)),
-        )
+        (RefusalReason::Overloaded, wait.max(Duration::from_millis(50)))
     }
 }
--- a/crates/core/src/requests/queue.rs
+++ b/crates/core/src/requests/queue.rs
@@ -37,18 +37,12 @@
 
     pub fn caller_len(&self, caller: &CallerName) -> usize {
         let lines = self.kinds.values().flat_map(|kind| &kind.callers);
-        lines
-            .filter(|(name, _)| name == caller)
-            .map(|(_, ids)| ids.len())
-            .sum()
+        lines.filter(|(name, _)| name == caller).map(|(_, ids)| ids.len()).sum()
     }
 
     /// Returns how many callers wait.
     pub fn callers(&self) -> usize {
-        let names = self
-            .kinds
-            .values()
-            .flat_map(|kind| kind.callers.iter().map(|(name, _)| name));
+        let names = self.kinds.values().flat_map(|kind| kind.callers.iter().map(|(name, _)| name));
         names.collect::<std::collections::BTreeSet<_>>().len()
     }
 
@@ -62,9 +56,7 @@
         }
         match line.callers.iter_mut().find(|(name, _)| name == caller) {
             Some((_, ids)) => ids.push_back(id),
-            None => line
-                .callers
-                .push_back((caller.clone(), VecDeque::from([id]))),
+            None => line.callers.push_back((caller.clone(), VecDeque::from([id]))),
         }
         self.len += 1;
     }
@@ -73,16 +65,12 @@
     pub fn push_front(&mut self, kind: &KindName, caller: &CallerName, id: RequestId) {
         let line = self.kinds.entry(kind.clone()).or_default();
         line.weight = line.weight.max(1);
-        line.callers
-            .push_front((caller.clone(), VecDeque::from([id])));
+        line.callers.push_front((caller.clone(), VecDeque::from([id])));
         self.len += 1;
     }
 
     pub fn pop(&mut self) -> Option<RequestId> {
-        let waiting = self
-            .kinds
-            .values_mut()
-            .filter(|line| !line.callers.is_empty());
+        let waiting = self.kinds.values_mut().filter(|line| !line.callers.is_empty());
         let line = waiting.min_by(|a, b| a.served.total_cmp(&b.served))?;
         let (caller, mut ids) = line.callers.pop_front()?;
         let id = ids.pop_front()?;
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -149,13 +149,9 @@
 
     /// Returns the versions reported to this instance, with its own.
     pub fn reported(&self, now: Moment) -> Vec<(InstanceName, ConfigVersion)> {
-        let fresh = self
-            .reports
-            .iter()
-            .filter(|(_, view)| now.since(view.at) < REPORT_STANDS);
-        let mut all: BTreeMap<InstanceName, ConfigVersion> = fresh
-            .map(|(name, view)| (name.clone(), view.version))
-            .collect();
+        let fresh = self.reports.iter().filter(|(_, view)| now.since(view.at) < REPORT_STANDS);
+        let mut all: BTreeMap<InstanceName, ConfigVersion> =
+            fresh.map(|(name, view)| (name.clone(), view.version)).collect();
         if let Some(version) = self.version() {
             all.insert(self.me.clone(), version);
         }
@@ -191,15 +187,8 @@
         self.missed.retain(|name, _| set.entries.contains_key(name));
         for name in set.entries.keys() {
             let own = *name == self.me;
-            let report = self
-                .reports
-                .get(name)
-                .filter(|r| now.since(r.at) < REPORT_STANDS);
-            let stops = if own {
-                leaving
-            } else {
-                report.is_some_and(|report| report.leaving)
-            };
+            let report = self.reports.get(name).filter(|r| now.since(r.at) < REPORT_STANDS);
+            let stops = if own { leaving } else { report.is_some_and(|report| report.leaving) };
             let heard = own || report.is_some();
             if heard {
                 self.missed.remove(name);
@@ -228,10 +217,8 @@
                 return effects;
             }
             let have = self.version;
-            let fresh: Vec<VersionStep> = steps
-                .into_iter()
-                .filter(|step| step.version > have)
-                .collect();
+            let fresh: Vec<VersionStep> =
+                steps.into_iter().filter(|step| step.version > have).collect();
             let set = Arc::make_mut(&mut self.set);
             for step in &fresh {
                 step.delta.apply(set);
@@ -273,17 +260,9 @@
         for report in reports {
             let at = Moment(now.0.saturating_sub(report.age.as_micros() as u64));
             let (version, leaving) = (report.version, report.leaving);
-            self.reports.insert(
-                report.name,
-                ReportView {
-                    version,
-                    at,
-                    leaving,
-                },
-            );
+            self.reports.insert(report.name, ReportView { version, at, leaving });
         }
-        self.pollers
-            .insert(sender.peer, PollerView { have, heard: now });
+        self.pollers.insert(sender.peer, PollerView { have, heard: now });
         vec![NodeEffect::send(sender.peer, self.answer(have, now))]
     }
 
@@ -316,10 +295,8 @@
                 false => NodeNote::ConfirmationBack { version },
             }));
         }
-        self.pollers
-            .retain(|_, poller| now.since(poller.heard) < POLLER_STANDS);
-        self.reports
-            .retain(|_, report| now.since(report.at) < POLLER_STANDS);
+        self.pollers.retain(|_, poller| now.since(poller.heard) < POLLER_STANDS);
+        self.reports.retain(|_, report| now.since(report.at) < POLLER_STANDS);
         effects
     }
 
@@ -338,21 +315,11 @@
             self.answered = now;
             self.asked_relay = !self.asked_relay;
         }
-        let seed = upstream
-            .seeds
-            .get(self.turn % upstream.seeds.len().max(1))
-            .copied();
+        let seed = upstream.seeds.get(self.turn % upstream.seeds.len().max(1)).copied();
         let relay = upstream.relay.filter(|_| !self.asked_relay);
-        let to = if upstream.is_replica {
-            upstream.leader
-        } else {
-            relay.or(seed)
-        };
+        let to = if upstream.is_replica { upstream.leader } else { relay.or(seed) };
         let reports = self.own_reports(leaving, now);
-        let message = PeerMessage::ConfigPoll {
-            have: self.version,
-            reports,
-        };
+        let message = PeerMessage::ConfigPoll { have: self.version, reports };
         to.map(|to| NodeEffect::send(to, message))
     }
 
@@ -369,10 +336,7 @@
             age: Duration::ZERO,
             leaving,
         });
-        below
-            .filter(|report| report.name != self.me)
-            .chain(own)
-            .collect()
+        below.filter(|report| report.name != self.me).chain(own).collect()
     }
 
     fn advance(
@@ -398,49 +362,26 @@
     }
 
     fn push(&mut self, now: Moment) -> Vec<NodeEffect> {
-        let behind = self
-            .pollers
-            .iter()
-            .filter(|(_, poller)| poller.have < self.version);
-        behind
-            .map(|(to, poller)| NodeEffect::send(*to, self.answer(poller.have, now)))
-            .collect()
+        let behind = self.pollers.iter().filter(|(_, poller)| poller.have < self.version);
+        behind.map(|(to, poller)| NodeEffect::send(*to, self.answer(poller.have, now))).collect()
     }
 
     fn answer(&self, have: ConfigVersion, now: Moment) -> PeerMessage {
         let absent = self.absent.iter().cloned().collect();
-        let notice = ConfirmNotice {
-            age: self.confirmed_age(now),
-            absent,
-        };
+        let notice = ConfirmNotice { age: self.confirmed_age(now), absent };
         let version = self.version;
         if have >= version {
-            return PeerMessage::ConfigSteps {
-                from: version,
-                steps: Vec::new(),
-                notice,
-            };
+            return PeerMessage::ConfigSteps { from: version, steps: Vec::new(), notice };
         }
-        let first = self
-            .steps
-            .iter()
-            .position(|step| step.version == have.next());
+        let first = self.steps.iter().position(|step| step.version == have.next());
         match first {
             Some(first) => {
                 let steps = self.steps.iter().skip(first).cloned().collect();
-                PeerMessage::ConfigSteps {
-                    from: have,
-                    steps,
-                    notice,
-                }
+                PeerMessage::ConfigSteps { from: have, steps, notice }
             }
             None => {
                 let set = ObjectSet::clone(&self.set);
-                PeerMessage::ConfigWhole {
-                    version,
-                    set,
-                    notice,
-                }
+                PeerMessage::ConfigWhole { version, set, notice }
             }
         }
     }
@@ -468,9 +409,6 @@
         }
         self.in_force = true;
         let version = self.version;
-        vec![
-            NodeEffect::Note(NodeNote::InForce { version }),
-            NodeEffect::ConfigChanged,
-        ]
+        vec![NodeEffect::Note(NodeNote::InForce { version }), NodeEffect::ConfigChanged]
     }
 }
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -37,36 +37,18 @@
     /// Makes the index of a set. Drained entries aren't in it.
     pub fn new(set: &ObjectSet) -> Self {
         let mut index = Self::default();
-        for entry in set
-            .entries
-            .values()
-            .filter(|entry| !set.entry_drained(entry))
-        {
+        for entry in set.entries.values().filter(|entry| !set.entry_drained(entry)) {
             let Some(region) = set.region_of(&entry.domain) else {
                 continue;
             };
             let hash = stable_hash(entry.name.as_str().as_bytes());
             let (name, domain, address) = (entry.name.clone(), entry.domain.clone(), entry.http);
-            let line = LookupEntry {
-                name,
-                domain,
-                address,
-            };
-            let indexed = IndexedEntry {
-                entry: line,
-                region: region.clone(),
-                hash,
-            };
-            index
-                .by_domain
-                .entry(entry.domain.clone())
-                .or_default()
-                .push(indexed);
+            let line = LookupEntry { name, domain, address };
+            let indexed = IndexedEntry { entry: line, region: region.clone(), hash };
+            index.by_domain.entry(entry.domain.clone()).or_default().push(indexed);
         }
         let regions = set.domains.values();
-        index.regions = regions
-            .map(|d| (d.name.clone(), d.region.clone()))
-            .collect();
+        index.regions = regions.map(|d| (d.name.clone(), d.region.clone())).collect();
         index
     }
 
@@ -78,11 +60,7 @@
         F: Fn(&LookupEntry) -> bool,
     {
         let found = self.ranked(home, caller, &serves);
-        if found.is_empty() {
-            self.ranked(home, caller, &|_: &LookupEntry| true)
-        } else {
-            found
-        }
+        if found.is_empty() { self.ranked(home, caller, &|_: &LookupEntry| true) } else { found }
     }
 
     fn ranked<F>(&self, home: &DomainName, caller: IpAddr, serves: &F) -> Vec<LookupEntry>
@@ -99,22 +77,12 @@
         }
         let near = |indexed: &&IndexedEntry| Some(&indexed.region) == region;
         let others = || self.by_domain.iter().filter(|(name, _)| *name != home);
-        push_spread(
-            &mut out,
-            others().flat_map(|(_, all)| all).filter(near),
-            salt,
-            serves,
-        );
+        push_spread(&mut out, others().flat_map(|(_, all)| all).filter(near), salt, serves);
         if out.len() >= ANSWER_ENTRIES_MAX {
             return out;
         }
         let far = |indexed: &&IndexedEntry| Some(&indexed.region) != region;
-        push_spread(
-            &mut out,
-            others().flat_map(|(_, all)| all).filter(far),
-            salt,
-            serves,
-        );
+        push_spread(&mut out, others().flat_map(|(_, all)| all).filter(far), salt, serves);
         out
     }
 }
@@ -139,10 +107,5 @@
         .collect();
     ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
     let room = ANSWER_ENTRIES_MAX - out.len();
-    out.extend(
-        ranked
-            .into_iter()
-            .take(room)
-            .map(|(_, indexed)| indexed.entry.clone()),
-    );
+    out.extend(ranked.into_iter().take(room).map(|(_, indexed)| indexed.entry.clone()));
 }
--- a/crates/core/src/submit.rs
+++ b/crates/core/src/submit.rs
@@ -45,10 +45,10 @@
 }
 
 /// Commands under way.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct SubmitBook {
     pending: BTreeMap<SubmitId, PendingCommand>,
-    last: u64,
+    last: SubmitId,
     leader: Option<SocketAddr>,
     turn: usize,
 }
@@ -61,6 +61,11 @@
 }
 
 impl SubmitBook {
+    pub fn new(incarnation: u64) -> Self {
+        let last = SubmitId { incarnation, number: 0 };
+        Self { pending: BTreeMap::new(), last, leader: None, turn: 0 }
+    }
+
     pub fn len(&self) -> usize {
         self.pending.len()
     }
@@ -77,17 +82,11 @@
         seeds: &[SocketAddr],
         now: Moment,
     ) -> Vec<NodeEffect> {
-        self.last += 1;
-        let id = SubmitId(self.last);
+        self.last.number += 1;
+        let id = self.last;
         let give_up = now.after(patience);
         let resend = now.after(RESEND_AFTER);
-        let pending = PendingCommand {
-            command,
-            purpose,
-            give_up,
-            resend,
-            redirects: 0,
-        };
+        let pending = PendingCommand { command, purpose, give_up, resend, redirects: 0 };
         let effects = self.send(id, &pending, seeds);
         self.pending.insert(id, pending);
         effects
@@ -106,13 +105,7 @@
                 self.leader = Some(from);
                 let pending = self.pending.remove(&id);
                 let outcome = Some(outcome);
-                (
-                    pending.map(|p| EndedCommand {
-                        purpose: p.purpose,
-                        outcome,
-                    }),
-                    Vec::new(),
-                )
+                (pending.map(|p| EndedCommand { purpose: p.purpose, outcome }), Vec::new())
             }
             SubmitAnswer::NotLeader { leader } => {
                 self.leader = leader.filter(|leader| *leader != from);
@@ -121,11 +114,7 @@
                 };
                 pending.redirects += 1;
                 let follow = self.leader.is_some() && pending.redirects <= 2;
-                let effects = if follow {
-                    self.send(id, &pending, seeds)
-                } else {
-                    Vec::new()
-                };
+                let effects = if follow { self.send(id, &pending, seeds) } else { Vec::new() };
                 self.pending.insert(id, pending);
                 (None, effects)
             }
@@ -153,10 +142,7 @@
                 continue;
             };
             if now >= pending.give_up {
-                ended.push(EndedCommand {
-                    purpose: pending.purpose,
-                    outcome: None,
-                });
+                ended.push(EndedCommand { purpose: pending.purpose, outcome: None });
                 continue;
             }
             pending.resend = now.after(RESEND_AFTER);
@@ -178,9 +164,6 @@
             return Vec::new();
         };
         let (group, command) = (GroupId::default(), pending.command.clone());
-        vec![NodeEffect::send(
-            to,
-            PeerMessage::Submit { group, id, command },
-        )]
+        vec![NodeEffect::send(to, PeerMessage::Submit { group, id, command })]
     }
 }
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -141,14 +141,10 @@
 impl TargetBoard {
     /// Takes in another version. A target whose address changed starts anew.
     pub fn declare(&mut self, set: &ObjectSet, domain: &DomainName, now: Moment) {
-        let own: BTreeMap<&TargetName, &TargetObject> = set
-            .targets
-            .iter()
-            .filter(|(_, target)| target.domain == *domain)
-            .collect();
+        let own: BTreeMap<&TargetName, &TargetObject> =
+            set.targets.iter().filter(|(_, target)| target.domain == *domain).collect();
         self.views.retain(|name, view| {
-            own.get(name)
-                .is_some_and(|target| target.address == view.object.address)
+            own.get(name).is_some_and(|target| target.address == view.object.address)
         });
         let first = self.views.is_empty();
         for (name, target) in own {
@@ -205,9 +201,7 @@
         };
         let mut effects = Vec::new();
         if report.draining && !view.leaving() {
-            effects.push(NodeEffect::Note(NodeNote::TargetLeaving {
-                target: name.clone(),
-            }));
+            effects.push(NodeEffect::Note(NodeNote::TargetLeaving { target: name.clone() }));
         }
         if view.says_draining && !report.draining {
             view.ramp_from = Some(now);
@@ -241,12 +235,7 @@
         let first = open[random.random_range(0..open.len())];
         let second = open[random.random_range(0..open.len())];
         let cost = |name: &TargetName| self.views[name].expected_finish(now);
-        let best = if cost(second) < cost(first) {
-            second
-        } else {
-            first
-        }
-        .clone();
+        let best = if cost(second) < cost(first) { second } else { first }.clone();
         let view = self.views.get_mut(&best)?;
         view.in_flight += 1;
         Some(view.object.clone())
@@ -270,9 +259,7 @@
             return Vec::new();
         }
         view.ejections = 0;
-        vec![NodeEffect::Note(NodeNote::TargetReturned {
-            target: name.clone(),
-        })]
+        vec![NodeEffect::Note(NodeNote::TargetReturned { target: name.clone() })]
     }
 
     /// Learns from a refusal by the target.
@@ -296,43 +283,30 @@
         view.ejections += 1;
         view.ejected_until = Some(now.after(span.min(EJECTION_MAX)));
         view.ramp_from = Some(now);
-        vec![NodeEffect::Note(NodeNote::TargetEjected {
-            target: name.clone(),
-        })]
+        vec![NodeEffect::Note(NodeNote::TargetEjected { target: name.clone() })]
     }
 
     /// Returns the slots of a service that this entry may fill now, on targets that take work.
     pub fn usable_slots(&self, service: &ServiceName, share: DomainShare, now: Moment) -> u32 {
-        let usable = self
-            .views
-            .values()
-            .filter(|view| view.object.service == *service && view.usable(now));
+        let usable =
+            self.views.values().filter(|view| view.object.service == *service && view.usable(now));
         usable.map(|view| view.share(share, now)).sum()
     }
 
     /// Returns the requests of a service in flight from this entry.
     pub fn in_flight(&self, service: &ServiceName) -> u32 {
-        let own = self
-            .views
-            .values()
-            .filter(|view| view.object.service == *service);
+        let own = self.views.values().filter(|view| view.object.service == *service);
         own.map(|view| view.in_flight).sum()
     }
 
     /// Returns the requests of all services in flight from this entry.
     pub fn total_in_flight(&self) -> u64 {
-        self.views
-            .values()
-            .map(|view| u64::from(view.in_flight))
-            .sum()
+        self.views.values().map(|view| u64::from(view.in_flight)).sum()
     }
 
     /// Returns the mean service time over the targets of a service that take work.
     pub fn service_time(&self, service: &ServiceName) -> Duration {
-        let own = self
-            .views
-            .values()
-            .filter(|view| view.object.service == *service);
+        let own = self.views.values().filter(|view| view.object.service == *service);
         let (count, sum) = own.fold((0u32, 0.0), |(n, sum), view| (n + 1, sum + view.service_us));
         if count == 0 {
             return SERVICE_GUESS;
@@ -345,11 +319,7 @@
         let line = |(name, view): (&TargetName, &TargetView)| TargetStatus {
             name: name.to_string(),
             in_flight: view.in_flight,
-            share: if view.usable(now) {
-                view.share(share, now)
-            } else {
-                0
-            },
+            share: if view.usable(now) { view.share(share, now) } else { 0 },
             leaving: view.leaving(),
             ejected: view.ejected(now),
         };
--- a/crates/core/src/util.rs
+++ b/crates/core/src/util.rs
@@ -20,11 +20,7 @@
         (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
     let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
     let shifted_month = (5 * day_of_year + 2) / 153;
-    let month = if shifted_month < 10 {
-        shifted_month + 3
-    } else {
-        shifted_month - 9
-    };
+    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
     let year = year_of_era + era * 400 + i64::from(month <= 2);
     (year * 100 + month) as u32
 }
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -49,7 +49,12 @@
 
 /// One command that an instance wants in the log, told apart from its others.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct SubmitId(pub u64);
+pub struct SubmitId {
+    /// The life of the sender's process: an answer to an earlier life's command is not for this one.
+    pub incarnation: u64,
+    /// The command within that life.
+    pub number: u64,
+}
 
 /// What a replica answers to a submitted command.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -212,47 +212,24 @@
     for domain in set.domains.values() {
         let found = set.regions.contains_key(&domain.region);
         let object = ObjectKey::FailureDomain(domain.name.clone());
-        require(
-            found,
-            object,
-            ObjectKey::Region(domain.region.clone()),
-            faults,
-        );
+        require(found, object, ObjectKey::Region(domain.region.clone()), faults);
     }
     for link in set.links.values() {
         let object = ObjectKey::Link(link.name.clone());
         for end in [&link.from, &link.to] {
             let found = set.regions.contains_key(end);
-            require(
-                found,
-                object.clone(),
-                ObjectKey::Region(end.clone()),
-                faults,
-            );
+            require(found, object.clone(), ObjectKey::Region(end.clone()), faults);
         }
         if link.from == link.to {
             let region = link.from.clone();
-            faults.push(CheckFault::LoopLink {
-                link: link.name.clone(),
-                region,
-            });
+            faults.push(CheckFault::LoopLink { link: link.name.clone(), region });
         }
-        require_above_zero(
-            link.bytes_per_second,
-            object,
-            FieldName::BytesPerSecond,
-            faults,
-        );
+        require_above_zero(link.bytes_per_second, object, FieldName::BytesPerSecond, faults);
     }
     for entry in set.entries.values() {
         let found = set.domains.contains_key(&entry.domain);
         let object = ObjectKey::Entry(entry.name.clone());
-        require(
-            found,
-            object,
-            ObjectKey::FailureDomain(entry.domain.clone()),
-            faults,
-        );
+        require(found, object, ObjectKey::FailureDomain(entry.domain.clone()), faults);
     }
 }
 
@@ -279,31 +256,11 @@
     for target in set.targets.values() {
         let object = ObjectKey::Target(target.name.clone());
         let service = ObjectKey::Service(target.service.clone());
-        require(
-            set.services.contains_key(&target.service),
-            object.clone(),
-            service,
-            faults,
-        );
+        require(set.services.contains_key(&target.service), object.clone(), service, faults);
         let domain = ObjectKey::FailureDomain(target.domain.clone());
-        require(
-            set.domains.contains_key(&target.domain),
-            object.clone(),
-            domain,
-            faults,
-        );
-        require_above_zero(
-            target.slots.into(),
-            object.clone(),
-            FieldName::Slots,
-            faults,
-        );
-        require_above_zero(
-            target.connections.into(),
-            object,
-            FieldName::Connections,
-            faults,
-        );
+        require(set.domains.contains_key(&target.domain), object.clone(), domain, faults);
+        require_above_zero(target.slots.into(), object.clone(), FieldName::Slots, faults);
+        require_above_zero(target.connections.into(), object, FieldName::Connections, faults);
         if !staffed.contains(&target.domain) {
             unreachable.insert(target.domain.clone());
         }
@@ -323,11 +280,7 @@
         let slots = set.region_slots(region);
         if matches!(limit.resource, LimitResource::Region(_)) && limit.ceiling > slots {
             let (region, ceiling) = (region.clone(), limit.ceiling);
-            faults.push(CheckFault::CeilingAboveSlots {
-                region,
-                ceiling,
-                slots,
-            });
+            faults.push(CheckFault::CeilingAboveSlots { region, ceiling, slots });
         }
     }
 }
@@ -342,10 +295,7 @@
         }
         match widest {
             Some(first) if first.contains(prefix) => {
-                faults.push(CheckFault::Overlap {
-                    first: *first,
-                    second: *prefix,
-                });
+                faults.push(CheckFault::Overlap { first: *first, second: *prefix });
             }
             _ => widest = Some(prefix),
         }
@@ -353,26 +303,13 @@
 }
 
 fn check_addresses(set: &ObjectSet, faults: &mut Vec<CheckFault>) {
-    let targets = set
-        .targets
-        .values()
-        .map(|t| (t.address, ObjectKey::Target(t.name.clone())));
-    let https = set
-        .entries
-        .values()
-        .map(|e| (e.http, ObjectKey::Entry(e.name.clone())));
-    let peers = set
-        .entries
-        .values()
-        .map(|e| (e.peer, ObjectKey::Entry(e.name.clone())));
+    let targets = set.targets.values().map(|t| (t.address, ObjectKey::Target(t.name.clone())));
+    let https = set.entries.values().map(|e| (e.http, ObjectKey::Entry(e.name.clone())));
+    let peers = set.entries.values().map(|e| (e.peer, ObjectKey::Entry(e.name.clone())));
     let mut owners: BTreeMap<SocketAddr, ObjectKey> = BTreeMap::new();
     for (address, second) in targets.chain(https).chain(peers) {
         if let Some(first) = owners.insert(address, second.clone()) {
-            faults.push(CheckFault::SharedAddress {
-                first,
-                second,
-                address,
-            });
+            faults.push(CheckFault::SharedAddress { first, second, address });
         }
     }
 }
@@ -380,22 +317,18 @@
 fn check_drains(set: &ObjectSet, faults: &mut Vec<CheckFault>) {
     for drain in set.drains.values() {
         let (found, missing) = match &drain.subject {
-            DrainSubject::Target(name) => (
-                set.targets.contains_key(name),
-                ObjectKey::Target(name.clone()),
-            ),
-            DrainSubject::Entry(name) => (
-                set.entries.contains_key(name),
-                ObjectKey::Entry(name.clone()),
-            ),
-            DrainSubject::FailureDomain(name) => (
-                set.domains.contains_key(name),
-                ObjectKey::FailureDomain(name.clone()),
-            ),
-            DrainSubject::Region(name) => (
-                set.regions.contains_key(name),
-                ObjectKey::Region(name.clone()),
-            ),
+            DrainSubject::Target(name) => {
+                (set.targets.contains_key(name), ObjectKey::Target(name.clone()))
+            }
+            DrainSubject::Entry(name) => {
+                (set.entries.contains_key(name), ObjectKey::Entry(name.clone()))
+            }
+            DrainSubject::FailureDomain(name) => {
+                (set.domains.contains_key(name), ObjectKey::FailureDomain(name.clone()))
+            }
+            DrainSubject::Region(name) => {
+                (set.regions.contains_key(name), ObjectKey::Region(name.clone()))
+            }
         };
         require(found, ObjectKey::Drain(drain.name.clone()), missing, faults);
     }
@@ -411,21 +344,13 @@
 
 fn check_drained_slots(set: &ObjectSet, faults: &mut Vec<CheckFault>) {
     for service in set.services.keys() {
-        let own = || {
-            set.targets
-                .values()
-                .filter(|target| target.service == *service)
-        };
+        let own = || set.targets.values().filter(|target| target.service == *service);
         let slots: u64 = own().map(|target| u64::from(target.slots)).sum();
         let staying = own().filter(|target| !set.target_drained(target));
         let left: u64 = staying.map(|target| u64::from(target.slots)).sum();
         if left * 100 < slots * DRAIN_LEAVES_PERCENT {
             let service = service.clone();
-            faults.push(CheckFault::DrainedTooFar {
-                service,
-                left,
-                slots,
-            });
+            faults.push(CheckFault::DrainedTooFar { service, left, slots });
         }
     }
 }
--- a/crates/model/src/declaration.rs
+++ b/crates/model/src/declaration.rs
@@ -47,9 +47,5 @@
             errors.push(DeclarationError::Duplicate(key));
         }
     }
-    if errors.is_empty() {
-        Ok(set)
-    } else {
-        Err(errors)
-    }
+    if errors.is_empty() { Ok(set) } else { Err(errors) }
 }
--- a/crates/model/src/delta.rs
+++ b/crates/model/src/delta.rs
@@ -26,11 +26,8 @@
 impl SetDelta {
     /// Returns what leads from one set to another.
     pub fn between(from: &ObjectSet, to: &ObjectSet) -> Self {
-        let mut old: BTreeMap<ObjectKey, DeclaredObject> = from
-            .objects()
-            .into_iter()
-            .map(|object| (object.key(), object))
-            .collect();
+        let mut old: BTreeMap<ObjectKey, DeclaredObject> =
+            from.objects().into_iter().map(|object| (object.key(), object)).collect();
         let mut upserts = Vec::new();
         for object in to.objects() {
             if old.remove(&object.key()).as_ref() != Some(&object) {
@@ -58,10 +55,7 @@
 
     /// Returns a line for each object, marked `+` when put in and `-` when taken out.
     pub fn summary(&self) -> Vec<String> {
-        let upserts = self
-            .upserts
-            .iter()
-            .map(|object| format!("+ {}", object.key()));
+        let upserts = self.upserts.iter().map(|object| format!("+ {}", object.key()));
         let removals = self.removals.iter().map(|key| format!("- {key}"));
         upserts.chain(removals).collect()
     }
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -55,10 +55,7 @@
 name_type!(DrainName, "a planned drain");
 name_type!(CallerName, "a caller");
 name_type!(OperatorName, "an operator");
-name_type!(
-    RequestTag,
-    "one operator request, chosen by its sender and kept across resends"
-);
+name_type!(RequestTag, "one operator request, chosen by its sender and kept across resends");
 
 /// The version of a published set; it starts at zero and rises by one with each publication.
 #[derive(
--- a/crates/model/src/set.rs
+++ b/crates/model/src/set.rs
@@ -156,28 +156,19 @@
 
     /// Returns the lowest ceiling declared for a resource, in its unit.
     pub fn ceiling(&self, resource: &LimitResource) -> Option<u64> {
-        let matching = self
-            .limits
-            .values()
-            .filter(|limit| limit.resource == *resource);
+        let matching = self.limits.values().filter(|limit| limit.resource == *resource);
         matching.map(|limit| limit.ceiling).min()
     }
 
     /// Returns the slots of all targets in a region, drained ones included.
     pub fn region_slots(&self, region: &RegionName) -> u64 {
-        let here = self
-            .targets
-            .values()
-            .filter(|t| self.region_of(&t.domain) == Some(region));
+        let here = self.targets.values().filter(|t| self.region_of(&t.domain) == Some(region));
         here.map(|target| u64::from(target.slots)).sum()
     }
 
     /// Returns the slots of all targets in a failure domain, drained ones included.
     pub fn domain_slots(&self, domain: &DomainName) -> u64 {
-        let here = self
-            .targets
-            .values()
-            .filter(|target| target.domain == *domain);
+        let here = self.targets.values().filter(|target| target.domain == *domain);
         here.map(|target| u64::from(target.slots)).sum()
     }
 }
--- a/crates/node/src/carriage/answer.rs
+++ b/crates/node/src/carriage/answer.rs
@@ -64,11 +64,7 @@
         };
         if let Some(result) = result {
             let (id, attempt) = (self.guard.id, self.attempt);
-            let event = RequestEvent::AttemptEnded {
-                id,
-                attempt,
-                result,
-            };
+            let event = RequestEvent::AttemptEnded { id, attempt, result };
             self.guard.shell.apply(NodeEvent::Request(event));
         }
         next
@@ -80,9 +76,7 @@
     let mut response = Response::builder().status(head.status).body(body);
     response.headers_mut().extend(head.headers);
     if let Some(size) = head.size {
-        response
-            .headers_mut()
-            .insert(header::CONTENT_LENGTH, size.into());
+        response.headers_mut().insert(header::CONTENT_LENGTH, size.into());
     }
     if let Some(target) = head.target.and_then(|name| name.parse().ok()) {
         response.headers_mut().insert(TARGET_HEADER, target);
--- a/crates/node/src/carriage/attempt.rs
+++ b/crates/node/src/carriage/attempt.rs
@@ -47,10 +47,7 @@
     /// The whole answer is here.
     Whole { head: AnswerHead, body: Bytes },
     /// The answer is on its way.
-    Streaming {
-        head: AnswerHead,
-        response: Response,
-    },
+    Streaming { head: AnswerHead, response: Response },
 }
 
 /// The head of an answer.
@@ -122,11 +119,7 @@
             format!("http://{address}/s/{}/{kind}/{tail}", carried.service)
         }
     };
-    let client: &Client = if carried.never_repeated {
-        &shell.fresh_client
-    } else {
-        &shell.client
-    };
+    let client: &Client = if carried.never_repeated { &shell.fresh_client } else { &shell.client };
     let mut request = client.request(carried.method.clone(), url);
     request = request.headers(passed_on(&carried.headers));
     request = request.header(DEADLINE_HEADER, order.budget.as_millis().to_string());
@@ -155,11 +148,7 @@
     match (&mut carried.body, far) {
         (CarriedBody::Held(bytes), Some(region)) if !bytes.is_empty() => {
             let stream = link_stream::held(bytes.clone());
-            Some(Body::wrap_stream(link_stream::paced(
-                stream,
-                Arc::clone(shell),
-                region,
-            )))
+            Some(Body::wrap_stream(link_stream::paced(stream, Arc::clone(shell), region)))
         }
         (CarriedBody::Held(bytes), _) => Some(Body::from(bytes.clone())),
         (CarriedBody::Streamed(body), far) => {
@@ -176,20 +165,10 @@
 
 /// Returns the region that an attempt's bytes go to, when a link leads there.
 fn far_region(shell: &NodeShell, place: &AttemptPlace) -> Option<RegionName> {
-    let AttemptPlace::Remote {
-        link: Some(link), ..
-    } = place
-    else {
+    let AttemptPlace::Remote { link: Some(link), .. } = place else {
         return None;
     };
-    shell.read(|state, _| {
-        state
-            .config()
-            .set()
-            .links
-            .get(link)
-            .map(|link| link.to.clone())
-    })
+    shell.read(|state, _| state.config().set().links.get(link).map(|link| link.to.clone()))
 }
 
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
@@ -200,8 +179,7 @@
             || name.as_str() == "keep-alive"
     };
     let kept = headers.iter().filter(|(name, _)| !own(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
 fn outcome_of(response: &Response) -> Option<RunOutcome> {
@@ -211,12 +189,7 @@
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers
-        .get(header::RETRY_AFTER)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()?;
+    let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_secs(seconds))
 }
 
@@ -225,10 +198,7 @@
 fn shows_its_end(response: &Response, method: &Method) -> bool {
     let headers = response.headers();
     let bodiless = *method == Method::HEAD
-        || matches!(
-            response.status(),
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
+        || matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     bodiless
         || headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING)
@@ -239,22 +209,14 @@
         AttemptPlace::Local { target } => Some(target.to_string()),
         AttemptPlace::Remote { .. } => {
             let value = response.headers().get(TARGET_HEADER);
-            value
-                .and_then(|value| value.to_str().ok())
-                .map(str::to_owned)
+            value.and_then(|value| value.to_str().ok()).map(str::to_owned)
         }
     };
     let mut headers = passed_on(response.headers());
     for name in [OUTCOME_HEADER, VERSION_HEADER, ENTRY_HEADER, TARGET_HEADER] {
         headers.remove(name);
     }
-    AnswerHead {
-        status: response.status(),
-        headers,
-        target,
-        took,
-        size: response.content_length(),
-    }
+    AnswerHead { status: response.status(), headers, target, took, size: response.content_length() }
 }
 
 /// Returns the body of an answer as a stream.
--- a/crates/node/src/carriage/drive.rs
+++ b/crates/node/src/carriage/drive.rs
@@ -35,50 +35,33 @@
     let response = if carried.never_repeated {
         // It goes on when the caller goes away, so that its outcome is recorded.
         let driving = tokio::spawn(drive(Arc::clone(&shell), carried));
-        driving
-            .await
-            .unwrap_or_else(|_| refused(&shell, &unknown()))
+        driving.await.unwrap_or_else(|_| refused(&shell, &unknown()))
     } else {
         drive(Arc::clone(&shell), carried).await
     };
-    shell
-        .metrics
-        .request_seconds
-        .observe(arrived.elapsed().as_secs_f64());
+    shell.metrics.request_seconds.observe(arrived.elapsed().as_secs_f64());
     response
 }
 
 async fn drive(shell: Arc<NodeShell>, mut carried: CarriedRequest) -> Response {
     let (id, mut orders) = shell.open_request();
-    let guard = RequestGuard {
-        shell: Arc::clone(&shell),
-        id,
-    };
+    let guard = RequestGuard { shell: Arc::clone(&shell), id };
     let intake = Box::new(carried.intake(id));
     shell.apply(NodeEvent::Request(RequestEvent::Arrived(intake)));
     match follow(&shell, &mut carried, id, &mut orders).await {
         DriveEnd::Final(response) => response,
         DriveEnd::Whole { head, body } => ran(&shell, head, Body::from(body)),
-        DriveEnd::Streaming {
-            head,
-            response,
-            attempt,
-        } => pass_on(&shell, &carried, guard, head, response, attempt),
+        DriveEnd::Streaming { head, response, attempt } => {
+            pass_on(&shell, &carried, guard, head, response, attempt)
+        }
     }
 }
 
 /// How the orders for a request ended.
 enum DriveEnd {
     Final(Response),
-    Whole {
-        head: AnswerHead,
-        body: Bytes,
-    },
-    Streaming {
-        head: AnswerHead,
-        response: ClientResponse,
-        attempt: u32,
-    },
+    Whole { head: AnswerHead, body: Bytes },
+    Streaming { head: AnswerHead, response: ClientResponse, attempt: u32 },
 }
 
 async fn follow(
@@ -98,22 +81,13 @@
         match attempt(shell, carried, &order).await {
             AttemptOutcome::Ended(result) => ended(shell, id, &order, result),
             AttemptOutcome::Whole { head, body } => {
-                let answer = carried
-                    .never_repeated
-                    .then(|| kept_answer(&head, Some(&body)));
-                let result = AttemptResult::Answered {
-                    answer,
-                    took: head.took,
-                };
+                let answer = carried.never_repeated.then(|| kept_answer(&head, Some(&body)));
+                let result = AttemptResult::Answered { answer, took: head.took };
                 ended(shell, id, &order, result);
                 return DriveEnd::Whole { head, body };
             }
             AttemptOutcome::Streaming { head, response } => {
-                return DriveEnd::Streaming {
-                    head,
-                    response,
-                    attempt: attempt_number,
-                };
+                return DriveEnd::Streaming { head, response, attempt: attempt_number };
             }
         }
     }
@@ -121,11 +95,7 @@
 
 fn ended(shell: &Arc<NodeShell>, id: RequestId, order: &DispatchOrder, result: AttemptResult) {
     let attempt = order.attempt;
-    let event = RequestEvent::AttemptEnded {
-        id,
-        attempt,
-        result,
-    };
+    let event = RequestEvent::AttemptEnded { id, attempt, result };
     shell.apply(NodeEvent::Request(event));
 }
 
@@ -138,27 +108,12 @@
     attempt: u32,
 ) -> Response {
     let answer = carried.never_repeated.then(|| kept_answer(&head, None));
-    let whole = Some(AttemptResult::Answered {
-        answer,
-        took: head.took,
-    });
-    let watch = |guard| WatchedStream {
-        inner: Box::pin(answer_stream(response)),
-        guard,
-        attempt,
-        whole,
-    };
-    let own = shell.read(|state, _| {
-        state
-            .config()
-            .set()
-            .region_of(&state.identity().domain)
-            .cloned()
-    });
-    let far = carried
-        .forwarded_from
-        .clone()
-        .filter(|region| Some(region) != own.as_ref());
+    let whole = Some(AttemptResult::Answered { answer, took: head.took });
+    let watch =
+        |guard| WatchedStream { inner: Box::pin(answer_stream(response)), guard, attempt, whole };
+    let own =
+        shell.read(|state, _| state.config().set().region_of(&state.identity().domain).cloned());
+    let far = carried.forwarded_from.clone().filter(|region| Some(region) != own.as_ref());
     let body = match far {
         Some(region) => Body::from_bytes_stream(paced(watch(guard), Arc::clone(shell), region)),
         None => Body::from_bytes_stream(watch(guard)),
@@ -168,9 +123,7 @@
 
 fn kept_answer(head: &AnswerHead, body: Option<&Bytes>) -> SettledAnswer {
     let content_type = head.headers.get(header::CONTENT_TYPE);
-    let content_type = content_type
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
     let small = body.filter(|body| body.len() <= KEPT_ANSWER_BYTES_MAX);
     SettledAnswer {
         status: head.status.as_u16(),
@@ -180,18 +133,10 @@
 }
 
 fn not_run(reason: RefusalReason) -> RefusalBody {
-    RefusalBody {
-        reason,
-        outcome: RunOutcome::NotRun,
-        retry_after_ms: RETRY_AFTER_MS,
-    }
+    RefusalBody { reason, outcome: RunOutcome::NotRun, retry_after_ms: RETRY_AFTER_MS }
 }
 
 fn unknown() -> RefusalBody {
     let (reason, outcome) = (RefusalReason::AttemptFailed, RunOutcome::Unknown);
-    RefusalBody {
-        reason,
-        outcome,
-        retry_after_ms: RETRY_AFTER_MS,
-    }
+    RefusalBody { reason, outcome, retry_after_ms: RETRY_AFTER_MS }
 }
--- a/crates/node/src/carriage/intake.rs
+++ b/crates/node/src/carriage/intake.rs
@@ -65,20 +65,13 @@
     pub(crate) async fn read(shell: &NodeShell, request: Request) -> Result<Self, RefusalReason> {
         let (service, kind, tail) = split_path(&request).ok_or(RefusalReason::NoSuchKind)?;
         let policy = policy_of(shell, &service, &kind)?;
-        let remote = request
-            .remote_addr()
-            .as_socket_addr()
-            .map(|address| address.ip());
+        let remote = request.remote_addr().as_socket_addr().map(|address| address.ip());
         let (parts, body) = request.into_parts();
         let headers = parts.headers;
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let trusted = text(PEER_TOKEN_HEADER) == Some(shell.settings.peer_token.as_str());
-        let forwarder = text(FORWARDED_HEADER)
-            .filter(|_| trusted)
-            .map(InstanceName::new);
-        let told = text(CALLER_HEADER)
-            .filter(|_| trusted)
-            .and_then(|ip| ip.parse().ok());
+        let forwarder = text(FORWARDED_HEADER).filter(|_| trusted).map(InstanceName::new);
+        let told = text(CALLER_HEADER).filter(|_| trusted).and_then(|ip| ip.parse().ok());
         let caller = told.or(remote).unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
         let deadline = text(DEADLINE_HEADER).and_then(|ms| ms.parse().ok());
         let key = text(KEY_HEADER).map(str::to_owned);
--- a/crates/node/src/disk/error.rs
+++ b/crates/node/src/disk/error.rs
@@ -112,10 +112,6 @@
     /// Returns what turns a system error at a path into a [`DiskError`].
     pub(crate) fn at(self, path: &std::path::Path) -> impl FnOnce(io::Error) -> DiskError {
         let path = path.to_owned();
-        move |source| DiskError::Io {
-            path,
-            action: self,
-            source,
-        }
+        move |source| DiskError::Io { path, action: self, source }
     }
 }
--- a/crates/node/src/disk/identity.rs
+++ b/crates/node/src/disk/identity.rs
@@ -45,9 +45,7 @@
         match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
-                return Err(DiskError::InUse {
-                    path: path.to_owned(),
-                });
+                return Err(DiskError::InUse { path: path.to_owned() });
             }
             Err(TryLockError::Error(source)) => {
                 return Err(DiskAction::Open.at(&lock_path)(source));
@@ -60,20 +58,10 @@
             make_identity(path, &identity_path, settings)?
         };
         if identity.deployment != settings.deployment || identity.name != settings.name {
-            let FolderIdentity {
-                name, deployment, ..
-            } = identity;
-            return Err(DiskError::Foreign {
-                path: path.to_owned(),
-                name,
-                deployment,
-            });
+            let FolderIdentity { name, deployment, .. } = identity;
+            return Err(DiskError::Foreign { path: path.to_owned(), name, deployment });
         }
-        Ok(Self {
-            path: path.to_owned(),
-            replica: identity.replica,
-            _lock: lock,
-        })
+        Ok(Self { path: path.to_owned(), replica: identity.replica, _lock: lock })
     }
 
     /// Returns the life of the folder.
@@ -89,10 +77,8 @@
 
 fn read_identity(path: &Path) -> Result<FolderIdentity, DiskError> {
     let text = fs::read_to_string(path).map_err(DiskAction::Read.at(path))?;
-    serde_json::from_str(&text).map_err(|source| DiskError::Identity {
-        path: path.to_owned(),
-        source,
-    })
+    serde_json::from_str(&text)
+        .map_err(|source| DiskError::Identity { path: path.to_owned(), source })
 }
 
 fn make_identity(
@@ -114,8 +100,7 @@
 pub(crate) fn write_synced(folder: &Path, path: &Path, bytes: &[u8]) -> Result<(), DiskError> {
     let draft = path.with_extension("tmp");
     let mut file = File::create(&draft).map_err(DiskAction::Create.at(&draft))?;
-    file.write_all(bytes)
-        .map_err(DiskAction::Write.at(&draft))?;
+    file.write_all(bytes).map_err(DiskAction::Write.at(&draft))?;
     file.sync_all().map_err(DiskAction::Sync.at(&draft))?;
     fs::rename(&draft, path).map_err(DiskAction::Rename.at(path))?;
     sync_folder(folder)
--- a/crates/node/src/disk/record.rs
+++ b/crates/node/src/disk/record.rs
@@ -84,8 +84,5 @@
         records.push(postcard::from_bytes(payload).map_err(|_| damage)?);
         offset = start + payload.len();
     }
-    Ok(ReadRecords {
-        records,
-        whole_bytes: offset as u64,
-    })
+    Ok(ReadRecords { records, whole_bytes: offset as u64 })
 }
--- a/crates/node/src/disk/store.rs
+++ b/crates/node/src/disk/store.rs
@@ -48,19 +48,12 @@
         let (restored, whole_bytes) = read_group(folder, number)?;
         let segment = OpenOptions::new().write(true).open(&path);
         let segment = segment.map_err(DiskAction::Open.at(&path))?;
-        segment
-            .set_len(whole_bytes)
-            .map_err(DiskAction::Write.at(&path))?;
+        segment.set_len(whole_bytes).map_err(DiskAction::Write.at(&path))?;
         segment.sync_all().map_err(DiskAction::Sync.at(&path))?;
         drop(segment);
         let segment = OpenOptions::new().append(true).open(&path);
         let segment = segment.map_err(DiskAction::Open.at(&path))?;
-        let store = Self {
-            folder: folder.to_owned(),
-            number,
-            segment,
-            unsynced: false,
-        };
+        let store = Self { folder: folder.to_owned(), number, segment, unsynced: false };
         store.remove_old()?;
         Ok((store, restored))
     }
@@ -77,9 +70,7 @@
         let mut bytes = Vec::new();
         frame_batch(batch, &mut bytes);
         let path = segment_path(&self.folder, self.number);
-        self.segment
-            .write_all(&bytes)
-            .map_err(DiskAction::Write.at(&path))?;
+        self.segment.write_all(&bytes).map_err(DiskAction::Write.at(&path))?;
         self.unsynced = true;
         Ok(())
     }
@@ -95,9 +86,7 @@
             return Ok(());
         }
         let path = segment_path(&self.folder, self.number);
-        self.segment
-            .sync_data()
-            .map_err(DiskAction::Sync.at(&path))?;
+        self.segment.sync_data().map_err(DiskAction::Sync.at(&path))?;
         self.unsynced = false;
         Ok(())
     }
@@ -111,11 +100,7 @@
         let number = self.number + 1;
         let mut snapshot = Vec::new();
         frame(image, &mut snapshot);
-        write_synced(
-            &self.folder,
-            &snapshot_path(&self.folder, number),
-            &snapshot,
-        )?;
+        write_synced(&self.folder, &snapshot_path(&self.folder, number), &snapshot)?;
         let mut bytes = Vec::new();
         frame(&StoredRecord::Base(base), &mut bytes);
         frame_batch(batch, &mut bytes);
@@ -150,13 +135,8 @@
     let mut files = Vec::new();
     for entry in fs::read_dir(folder).map_err(DiskAction::Read.at(folder))? {
         let path = entry.map_err(DiskAction::Read.at(folder))?.path();
-        let stem = path
-            .file_stem()
-            .and_then(|stem| stem.to_str())
-            .unwrap_or_default();
-        let number = stem
-            .split_once('-')
-            .and_then(|(_, number)| number.parse().ok());
+        let stem = path.file_stem().and_then(|stem| stem.to_str()).unwrap_or_default();
+        let number = stem.split_once('-').and_then(|(_, number)| number.parse().ok());
         if let Some(number) = number {
             files.push((path, number));
         }
@@ -166,9 +146,8 @@
 
 fn newest_segment(folder: &Path) -> Result<Option<u64>, DiskError> {
     let files = numbered_files(folder)?;
-    let segments = files
-        .into_iter()
-        .filter(|(path, _)| path.extension().is_some_and(|e| e == "log"));
+    let segments =
+        files.into_iter().filter(|(path, _)| path.extension().is_some_and(|e| e == "log"));
     Ok(segments.map(|(_, number)| number).max())
 }
 
@@ -187,10 +166,8 @@
 fn read_group(folder: &Path, number: u64) -> Result<(RestoredLog, u64), DiskError> {
     let path = segment_path(folder, number);
     let bytes = fs::read(&path).map_err(DiskAction::Read.at(&path))?;
-    let damaged = |path: &Path, at: DamageOffset| DiskError::Damaged {
-        path: path.to_owned(),
-        offset: at.0,
-    };
+    let damaged =
+        |path: &Path, at: DamageOffset| DiskError::Damaged { path: path.to_owned(), offset: at.0 };
     let read = read_frames(&bytes).map_err(|at| damaged(&path, at))?;
     let mut restored = RestoredLog::default();
     for record in read.records {
@@ -198,9 +175,7 @@
             StoredRecord::Base(base) => restored.base = base,
             StoredRecord::Hard(hard) => restored.hard = hard,
             StoredRecord::TruncateAfter(index) => {
-                restored
-                    .entries
-                    .retain(|entry| entry.position.index <= index);
+                restored.entries.retain(|entry| entry.position.index <= index);
             }
             StoredRecord::Entry(entry) => restored.entries.push(entry),
         }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -29,19 +29,14 @@
 /// [`LogOpenError`] when the file can't be opened for appending.
 pub(crate) fn open(settings: &DaemonSettings) -> Result<(), LogOpenError> {
     let mut config = ConfigBuilder::new();
-    config
-        .set_time_format_rfc3339()
-        .add_filter_allow_str("hemlockspoold");
+    config.set_time_format_rfc3339().add_filter_allow_str("hemlockspoold");
     let config = config.build();
     let level = LevelFilter::Info;
     // A logger that is already there, in the same process, stays.
     match &settings.log_file {
         Some(path) => {
             let file = OpenOptions::new().create(true).append(true).open(path);
-            let file = file.map_err(|source| LogOpenError {
-                path: path.clone(),
-                source,
-            })?;
+            let file = file.map_err(|source| LogOpenError { path: path.clone(), source })?;
             let _ = WriteLogger::init(level, config, file);
         }
         None => {
--- a/crates/node/src/http/lookup.rs
+++ b/crates/node/src/http/lookup.rs
@@ -23,13 +23,8 @@
 #[handler]
 pub(super) fn lookup(shell: Data<&Arc<NodeShell>>, request: &Request) -> Response {
     let asked = request.uri().query().and_then(caller_of);
-    let remote = request
-        .remote_addr()
-        .as_socket_addr()
-        .map(|address| address.ip());
-    let caller = asked
-        .or(remote)
-        .unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
+    let remote = request.remote_addr().as_socket_addr().map(|address| address.ip());
+    let caller = asked.or(remote).unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
     match shell.read(|state, now| state.lookup(caller, now)) {
         Some(answer) => Json(answer).into_response(),
         None => unavailable(),
@@ -49,9 +44,7 @@
         retry_after_ms: RETRY_AFTER_MS,
     };
     let response = Json(body).with_status(StatusCode::SERVICE_UNAVAILABLE);
-    response
-        .with_header(header::RETRY_AFTER, "1")
-        .into_response()
+    response.with_header(header::RETRY_AFTER, "1").into_response()
 }
 
 /// Says that the process is alive.
@@ -65,9 +58,5 @@
 pub(super) fn readyz(shell: Data<&Arc<NodeShell>>) -> StatusCode {
     let ready =
         shell.read(|state, _| state.config().version().is_some() && !state.peers().leaving());
-    if ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    }
+    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
--- a/crates/node/src/http/operators.rs
+++ b/crates/node/src/http/operators.rs
@@ -50,29 +50,18 @@
     let body: PublishBody = match serde_json::from_slice(&bytes) {
         Ok(body) => body,
         Err(error) => {
-            return error
-                .to_string()
-                .with_status(StatusCode::BAD_REQUEST)
-                .into_response();
+            return error.to_string().with_status(StatusCode::BAD_REQUEST).into_response();
         }
     };
     let set = match declaration::collect(body.objects) {
         Ok(set) => Box::new(set),
         Err(errors) => {
             let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
-            return lines
-                .join("\n")
-                .with_status(StatusCode::BAD_REQUEST)
-                .into_response();
+            return lines.join("\n").with_status(StatusCode::BAD_REQUEST).into_response();
         }
     };
     let operator = operator_of(&shell, request);
-    let call = OperatorCall::Publish {
-        request: body.request,
-        operator,
-        base: body.base,
-        set,
-    };
+    let call = OperatorCall::Publish { request: body.request, operator, base: body.base, set };
     let answer = match shell.call(call).await {
         Some(OperatorReply::Publish(answer)) => answer,
         _ => PublishAnswer::Unknown,
@@ -97,11 +86,7 @@
     let Some((version, set)) = held else {
         return StatusCode::SERVICE_UNAVAILABLE.into();
     };
-    Json(ConfigAnswer {
-        version,
-        objects: ObjectSet::objects(&set),
-    })
-    .into_response()
+    Json(ConfigAnswer { version, objects: ObjectSet::objects(&set) }).into_response()
 }
 
 /// Shows the state of this instance.
@@ -130,11 +115,7 @@
         return StatusCode::SERVICE_UNAVAILABLE.into();
     };
     let done = answer == ReplicaAnswer::Done;
-    let status = if done {
-        StatusCode::OK
-    } else {
-        StatusCode::CONFLICT
-    };
+    let status = if done { StatusCode::OK } else { StatusCode::CONFLICT };
     Json(answer).with_status(status).into_response()
 }
 
@@ -162,9 +143,7 @@
         return at_replica(&shell, request);
     };
     let end = records.last().map(|record| record.sequence);
-    let next = end
-        .filter(|sequence| *sequence < last)
-        .map(|sequence| sequence + 1);
+    let next = end.filter(|sequence| *sequence < last).map(|sequence| sequence + 1);
     if let Some(operator) = &query.operator {
         records.retain(|record| record.operator.as_ref() == Some(operator));
     }
@@ -198,11 +177,7 @@
 }
 
 fn operator_of(shell: &NodeShell, request: &Request) -> Option<OperatorName> {
-    let text = request
-        .headers()
-        .get(header::AUTHORIZATION)?
-        .to_str()
-        .ok()?;
+    let text = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
     shell.operator_of(text.strip_prefix("Bearer ")?)
 }
 
@@ -211,19 +186,13 @@
     let seeds = &shell.settings.replicas;
     let place = shell.read(|state, _| {
         let set = state.config().set();
-        let mut found = set
-            .entries
-            .values()
-            .filter(|entry| seeds.contains(&entry.peer));
+        let mut found = set.entries.values().filter(|entry| seeds.contains(&entry.peer));
         found.next().map(|entry| entry.http)
     });
     let Some(address) = place else {
         return StatusCode::SERVICE_UNAVAILABLE.into();
     };
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     Response::builder()
         .status(StatusCode::TEMPORARY_REDIRECT)
         .header(header::LOCATION, format!("http://{address}{path}"))
@@ -245,12 +214,8 @@
         in_flight: state.targets().total_in_flight(),
         queued: state.requests().queued(),
         targets: state.targets().status(share, now),
-        replica: state
-            .replica()
-            .map(|replica| replica_status(replica.group())),
-        in_force: reported
-            .map(|(name, version)| EntryVersion { name, version })
-            .collect(),
+        replica: state.replica().map(|replica| replica_status(replica.group())),
+        in_force: reported.map(|(name, version)| EntryVersion { name, version }).collect(),
     }
 }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -66,9 +66,7 @@
     pub(crate) async fn listen(address: SocketAddr) -> Result<Self, HttpListenError> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| HttpListenError { address, source })?;
-        Ok(Self {
-            acceptor: PromptAcceptor { listener, address },
-        })
+        Ok(Self { acceptor: PromptAcceptor { listener, address } })
     }
 
     /// Serves until a signal comes, and then until the requests in flight have ended or the grace
@@ -96,9 +94,7 @@
             .at("/s/*path", service)
             .data(shell);
         let server = Server::new_with_acceptor(self.acceptor).idle_timeout(IDLE_TIMEOUT);
-        let served = server
-            .run_with_graceful_shutdown(routes, signal, Some(grace))
-            .await;
+        let served = server.run_with_graceful_shutdown(routes, signal, Some(grace)).await;
         // Accepting goes on after single failures; there is nothing to do about the last one.
         let _ = served;
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -39,9 +39,7 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let path: &PathBuf = matches
-        .get_one("settings")
-        .expect("the argument is required");
+    let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
     let settings = match DaemonSettings::load(path) {
         Ok(settings) => settings,
         Err(error) => return fail(Report::new(error), EXIT_SETTINGS),
@@ -50,16 +48,10 @@
         println!("{}: settings are good", path.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            return fail(
-                Err::<(), _>(error).into_diagnostic().unwrap_err(),
-                EXIT_FAILED,
-            );
+            return fail(Err::<(), _>(error).into_diagnostic().unwrap_err(), EXIT_FAILED);
         }
     };
     match runtime.block_on(run::run(settings)) {
@@ -75,10 +67,8 @@
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("The settings, in JSON");
-    let check = Arg::new("check")
-        .long("check")
-        .action(ArgAction::SetTrue)
-        .help("Only checks the settings");
+    let check =
+        Arg::new("check").long("check").action(ArgAction::SetTrue).help("Only checks the settings");
     Command::new("hemlockspoold")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Steers callers to targets across regions and failure domains")
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -39,17 +39,13 @@
         let registry = Registry::new();
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("the name is good");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("the name is new");
+            registry.register(Box::new(gauge.clone())).expect("the name is new");
             gauge
         };
         let gauges = |name: &str, help: &str, label: &str| {
             let gauges =
                 IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the name is good");
-            registry
-                .register(Box::new(gauges.clone()))
-                .expect("the name is new");
+            registry.register(Box::new(gauges.clone())).expect("the name is new");
             gauges
         };
         let options = HistogramOpts::new(
@@ -57,9 +53,7 @@
             "Time from a request's arrival to the head of its answer",
         );
         let request_seconds = Histogram::with_opts(options).expect("the name is good");
-        registry
-            .register(Box::new(request_seconds.clone()))
-            .expect("the name is new");
+        registry.register(Box::new(request_seconds.clone())).expect("the name is new");
         Self {
             version: gauge("hemlockspool_config_version", "The version in force"),
             confirmed_age_ms: gauge(
@@ -77,11 +71,7 @@
                 "Requests by what became of them",
                 "what",
             ),
-            refusals: gauges(
-                "hemlockspool_refusals_total",
-                "Refusals by reason",
-                "reason",
-            ),
+            refusals: gauges("hemlockspool_refusals_total", "Refusals by reason", "reason"),
             request_seconds,
             registry,
         }
@@ -98,20 +88,16 @@
 
     fn read_off(&self, state: &NodeState, now: Moment) {
         let config = state.config();
-        self.version
-            .set(config.version().map_or(0, |version| version.0 as i64));
+        self.version.set(config.version().map_or(0, |version| version.0 as i64));
         let age = config.confirmed_age(now).map(|age| age.as_millis() as i64);
         self.confirmed_age_ms.set(age.unwrap_or(AGE_UNKNOWN_MS));
         self.in_flight.set(state.targets().total_in_flight() as i64);
         self.queued.set(state.requests().queued() as i64);
         let group = state.replica().map(|replica| replica.group());
-        self.leading
-            .set(group.is_some_and(|group| group.is_leader()).into());
-        self.commit
-            .set(group.map_or(0, |group| group.commit() as i64));
+        self.leading.set(group.is_some_and(|group| group.is_leader()).into());
+        self.commit.set(group.map_or(0, |group| group.commit() as i64));
         self.submits_pending.set(state.submits_pending() as i64);
-        self.domain_members
-            .set(state.peers().members(now).len() as i64);
+        self.domain_members.set(state.peers().members(now).len() as i64);
         let counts = state.requests().counts();
         let lines = [
             ("arrived", counts.arrived),
@@ -124,9 +110,7 @@
         }
         for (reason, count) in &counts.refused {
             let text = serde_json::to_string(reason).unwrap_or_default();
-            self.refusals
-                .with_label_values(&[text.trim_matches('"')])
-                .set(*count as i64);
+            self.refusals.with_label_values(&[text.trim_matches('"')]).set(*count as i64);
         }
     }
 }
--- a/crates/node/src/peer_net.rs
+++ b/crates/node/src/peer_net.rs
@@ -64,8 +64,7 @@
     ) -> Result<Self, PeerListenError> {
         let failed = |source| PeerListenError { address, source };
         let pull = Socket::new(Protocol::Pull0).map_err(failed)?;
-        pull.set_opt::<RecvMaxSize>(MESSAGE_BYTES_MAX)
-            .map_err(failed)?;
+        pull.set_opt::<RecvMaxSize>(MESSAGE_BYTES_MAX).map_err(failed)?;
         let again = pull.clone();
         let receive = Aio::new(move |aio, result| {
             if let AioResult::Recv(Ok(message)) = &result
@@ -80,11 +79,7 @@
         let receive = receive.map_err(failed)?;
         pull.listen(&url(address)).map_err(failed)?;
         pull.recv_async(&receive).map_err(failed)?;
-        Ok(Self {
-            pushes: Mutex::default(),
-            _pull: pull,
-            _receive: receive,
-        })
+        Ok(Self { pushes: Mutex::default(), _pull: pull, _receive: receive })
     }
 
     /// Sends a message, or drops it when its receiver is too far behind.
--- a/crates/node/src/probes.rs
+++ b/crates/node/src/probes.rs
@@ -20,19 +20,12 @@
 /// Asks one target for its load.
 pub(crate) async fn probe(shell: Arc<NodeShell>, target: TargetName, address: SocketAddr) {
     let address = shell.settings.route(address);
-    let asking = shell
-        .client
-        .get(format!("http://{address}/load"))
-        .timeout(PROBE_TIMEOUT)
-        .send();
+    let asking = shell.client.get(format!("http://{address}/load")).timeout(PROBE_TIMEOUT).send();
     let report = match asking.await {
         Ok(answer) => answer.json::<TargetLoad>().await.ok(),
         Err(_) => None,
     };
-    let report = report.map(|said| LoadReport {
-        load: said.load,
-        draining: said.draining,
-    });
+    let report = report.map(|said| LoadReport { load: said.load, draining: said.draining });
     shell.apply(NodeEvent::Probed { target, report });
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -105,11 +105,7 @@
         incarnation: (wall_ms() << 16) | u64::from(random.random::<u16>()),
     };
     let (replica, disk) = match opened {
-        Some(ReplicaParts {
-            replica,
-            store,
-            folder,
-        }) => (Some(replica), Some((store, folder))),
+        Some(ReplicaParts { replica, store, folder }) => (Some(replica), Some((store, folder))),
         None => (None, None),
     };
     let seeds = settings.replicas.clone();
@@ -130,16 +126,8 @@
         .unzip();
     let (client, fresh_client) = (client(IDLE_CONNECTIONS)?, client(0)?);
     let own_inbox = sender;
-    let parts = ShellParts {
-        settings,
-        state,
-        net,
-        writer,
-        own_inbox,
-        started,
-        client,
-        fresh_client,
-    };
+    let parts =
+        ShellParts { settings, state, net, writer, own_inbox, started, client, fresh_client };
     let shell = NodeShell::new(parts);
     tokio::spawn(take_in(Arc::clone(&shell), inbox));
     tokio::spawn(hand_back(Arc::clone(&shell), done));
@@ -154,9 +142,7 @@
             Err(_) => std::future::pending().await,
         }
     };
-    events::write(&NodeNote::Started {
-        name: shell.settings.name.clone(),
-    });
+    events::write(&NodeNote::Started { name: shell.settings.name.clone() });
     let result = tokio::select! {
         result = serve(Arc::clone(&shell), server) => result,
         error = disk_failed => {
@@ -185,11 +171,7 @@
     let (store, restored) = LogStore::open(&folder.group_path(group.0))?;
     let now = moment_since(started);
     let replica = ReplicaNode::restore(group, folder.replica(), restored, now, seeded(seed))?;
-    Ok(Some(ReplicaParts {
-        replica,
-        store,
-        folder,
-    }))
+    Ok(Some(ReplicaParts { replica, store, folder }))
 }
 
 fn client(idle: usize) -> Result<Client, reqwest::Error> {
@@ -211,10 +193,7 @@
 
 async fn hand_back(shell: Arc<NodeShell>, mut done: UnboundedReceiver<u64>) {
     while let Some(ticket) = done.recv().await {
-        shell.apply(NodeEvent::Persisted {
-            group: GroupId::default(),
-            ticket,
-        });
+        shell.apply(NodeEvent::Persisted { group: GroupId::default(), ticket });
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -95,10 +95,7 @@
     },
     /// Fields are wrong.
     #[error("{path}: {}", list(faults))]
-    #[diagnostic(
-        code(hemlockspool::settings::faulty),
-        help("docs/OPERATIONS.md lists all fields")
-    )]
+    #[diagnostic(code(hemlockspool::settings::faulty), help("docs/OPERATIONS.md lists all fields"))]
     Faulty {
         /// The file.
         path: PathBuf,
@@ -161,11 +158,7 @@
 
 impl FieldReader {
     fn fault(&mut self, field: &str, value: Value, why: FaultReason) {
-        self.faults.push(FieldFault {
-            field: field.to_owned(),
-            value,
-            why,
-        });
+        self.faults.push(FieldFault { field: field.to_owned(), value, why });
     }
 
     fn optional<T>(&mut self, field: &str) -> Option<T>
@@ -217,26 +210,15 @@
     /// See [`SettingsError`].
     pub(crate) fn load(path: &Path) -> Result<Self, SettingsError> {
         let owned = || path.to_owned();
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            path: owned(),
-            source,
-        })?;
-        let fields: Map<String, Value> =
-            serde_json::from_str(&text).map_err(|source| SettingsError::Malformed {
-                path: owned(),
-                source,
-            })?;
-        Self::read(fields).map_err(|faults| SettingsError::Faulty {
-            path: owned(),
-            faults,
-        })
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: owned(), source })?;
+        let fields: Map<String, Value> = serde_json::from_str(&text)
+            .map_err(|source| SettingsError::Malformed { path: owned(), source })?;
+        Self::read(fields).map_err(|faults| SettingsError::Faulty { path: owned(), faults })
     }
 
     fn read(fields: Map<String, Value>) -> Result<Self, Vec<FieldFault>> {
-        let mut reader = FieldReader {
-            fields,
-            faults: Vec::new(),
-        };
+        let mut reader = FieldReader { fields, faults: Vec::new() };
         let deployment = reader.text("deployment");
         let name = reader.text("name");
         let domain = reader.text("domain");
@@ -251,18 +233,9 @@
         let drain_ms = reader.optional("drain_ms").unwrap_or(DRAIN_DEFAULT_MS);
         let grace_ms = reader.optional("grace_ms").unwrap_or(GRACE_DEFAULT_MS);
         let log_file: Option<PathBuf> = reader.optional("log_file");
-        check_places(
-            &mut reader,
-            http,
-            peer,
-            replicas.as_deref(),
-            data_folder.as_deref(),
-        );
+        check_places(&mut reader, http, peer, replicas.as_deref(), data_folder.as_deref());
         check_secrets(&mut reader, peer_token.as_deref(), &operators);
-        if let Some(url) = instance_list
-            .as_ref()
-            .filter(|url| !url.starts_with("http://"))
-        {
+        if let Some(url) = instance_list.as_ref().filter(|url| !url.starts_with("http://")) {
             let value = Value::String(url.clone());
             reader.fault("instance_list", value, FaultReason::NotAnHttpAddress);
         }
@@ -305,11 +278,7 @@
     }
     let Some(replicas) = replicas else { return };
     if replicas.is_empty() {
-        reader.fault(
-            "replicas",
-            Value::Array(Vec::new()),
-            FaultReason::NoReplicas,
-        );
+        reader.fault("replicas", Value::Array(Vec::new()), FaultReason::NoReplicas);
         return;
     }
     if let (Some(_), Some(peer)) = (data_folder, peer.filter(|peer| !replicas.contains(peer))) {
@@ -323,22 +292,14 @@
     operators: &[OperatorSettings],
 ) {
     if peer_token.is_some_and(|token| token.len() < PEER_TOKEN_MIN) {
-        reader.fault(
-            "peer_token",
-            Value::String("…".to_owned()),
-            FaultReason::TooShort,
-        );
+        reader.fault("peer_token", Value::String("…".to_owned()), FaultReason::TooShort);
     }
     for operator in operators {
         let digest = &operator.token_sha256;
         let good = digest.len() == 64 && digest.chars().all(|c| c.is_ascii_hexdigit());
         if !good {
             let field = format!("operators.{}.token_sha256", operator.name);
-            reader.fault(
-                &field,
-                Value::String(digest.clone()),
-                FaultReason::NotADigest,
-            );
+            reader.fault(&field, Value::String(digest.clone()), FaultReason::NotADigest);
         }
     }
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -95,21 +95,9 @@
 impl NodeShell {
     /// Makes a shell.
     pub(crate) fn new(parts: ShellParts) -> Arc<Self> {
-        let ShellParts {
-            settings,
-            state,
-            net,
-            writer,
-            own_inbox,
-            started,
-            client,
-            fresh_client,
-        } = parts;
-        let core = ShellCore {
-            state,
-            orders: BTreeMap::new(),
-            replies: BTreeMap::new(),
-        };
+        let ShellParts { settings, state, net, writer, own_inbox, started, client, fresh_client } =
+            parts;
+        let core = ShellCore { state, orders: BTreeMap::new(), replies: BTreeMap::new() };
         Arc::new(Self {
             settings,
             metrics: NodeMetrics::new(),
@@ -151,10 +139,7 @@
     /// Hands an event to the reducer and performs what it wants done.
     pub(crate) fn apply(self: &Arc<Self>, event: NodeEvent) {
         let mut core = self.lock();
-        let clock = ClockReading {
-            now: self.now(),
-            wall_ms: wall_ms(),
-        };
+        let clock = ClockReading { now: self.now(), wall_ms: wall_ms() };
         let effects = core.state.reduce(event, clock);
         for effect in effects {
             self.perform(&mut core, effect);
--- a/crates/testkit/examples/stand_ins.rs
+++ b/crates/testkit/examples/stand_ins.rs
@@ -29,20 +29,8 @@
     let _list = StandList::start(plan.list).await?;
     let mut servers = Vec::new();
     for target in plan.targets {
-        let PlacedTarget {
-            address,
-            name,
-            slots,
-            queue,
-            service_ms,
-        } = target;
-        let plan = StandPlan {
-            name,
-            slots,
-            queue,
-            service_ms,
-            ..StandPlan::default()
-        };
+        let PlacedTarget { address, name, slots, queue, service_ms } = target;
+        let plan = StandPlan { name, slots, queue, service_ms, ..StandPlan::default() };
         servers.push(StandServer::start(address, plan).await?);
     }
     signal(SignalKind::terminate())?.recv().await;
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -66,12 +66,7 @@
 
 impl Default for ClusterPlan {
     fn default() -> Self {
-        let domain = |name, region| DomainPlan {
-            name,
-            region,
-            entries: 1,
-            targets: 2,
-        };
+        let domain = |name, region| DomainPlan { name, region, entries: 1, targets: 2 };
         Self {
             domains: vec![domain("a1", "a"), domain("a2", "a"), domain("b1", "b")],
             replicas: 3,
@@ -124,19 +119,12 @@
         path.pop();
     }
     path.push(name);
-    assert!(
-        path.exists(),
-        "{} is missing: run `cargo build --workspace` first",
-        path.display()
-    );
+    assert!(path.exists(), "{} is missing: run `cargo build --workspace` first", path.display());
     path
 }
 
 pub fn hex_digest(text: &str) -> String {
-    Sha256::digest(text.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 /// Waits until a condition holds.
@@ -155,25 +143,15 @@
 impl NodeProcess {
     pub fn start(&mut self) {
         assert!(self.child.is_none(), "{} runs already", self.name);
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(&self.log)
-            .unwrap();
+        let log = File::options().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(program("hemlockspoold"));
         command.arg("--settings").arg(&self.settings);
-        command
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.child = Some(command.spawn().unwrap());
     }
 
     pub fn pid(&self) -> i32 {
-        self.child
-            .as_ref()
-            .map(|child| child.id() as i32)
-            .expect("it runs")
+        self.child.as_ref().map(|child| child.id() as i32).expect("it runs")
     }
 
     pub fn kill(&mut self) {
@@ -262,28 +240,14 @@
             }
             for place in 0..domain.targets {
                 let name = format!("{}-t{place}", domain.name);
-                let plan = StandPlan {
-                    name,
-                    ..plan.target.clone()
-                };
+                let plan = StandPlan { name, ..plan.target.clone() };
                 let any = (Ipv4Addr::LOCALHOST, 0).into();
                 targets.push(StandServer::start(any, plan).await.unwrap());
             }
         }
-        let client = Client::builder()
-            .no_proxy()
-            .timeout(PATIENCE)
-            .build()
-            .unwrap();
+        let client = Client::builder().no_proxy().timeout(PATIENCE).build().unwrap();
         let proxies = BTreeMap::new();
-        let mut cluster = Self {
-            nodes,
-            targets,
-            client,
-            plan,
-            proxies,
-            _folder: folder,
-        };
+        let mut cluster = Self { nodes, targets, client, plan, proxies, _folder: folder };
         cluster.write_settings().await;
         cluster
     }
@@ -310,22 +274,13 @@
         let Some(status) = self.status(at).await else {
             return false;
         };
-        let members = status
-            .replica
-            .map(|replica| replica.members)
-            .unwrap_or_default();
-        members
-            .iter()
-            .any(|one| one.name.as_str() == name && one.voter)
+        let members = status.replica.map(|replica| replica.members).unwrap_or_default();
+        members.iter().any(|one| one.name.as_str() == name && one.voter)
     }
 
     async fn write_settings(&mut self) {
-        let replicas: Vec<SocketAddr> = self
-            .nodes
-            .iter()
-            .filter(|n| n.data.is_some())
-            .map(|n| n.peer)
-            .collect();
+        let replicas: Vec<SocketAddr> =
+            self.nodes.iter().filter(|n| n.data.is_some()).map(|n| n.peer).collect();
         for from in 0..self.nodes.len() {
             let routes = self.routes(from).await;
             let node = &self.nodes[from];
@@ -343,11 +298,7 @@
                 "routes": routes,
                 "drain_ms": self.plan.drain_ms,
             });
-            fs::write(
-                &node.settings,
-                serde_json::to_vec_pretty(&settings).unwrap(),
-            )
-            .unwrap();
+            fs::write(&node.settings, serde_json::to_vec_pretty(&settings).unwrap()).unwrap();
         }
     }
 
@@ -397,9 +348,7 @@
         let mut regions: Vec<&str> = self.plan.domains.iter().map(|d| d.region).collect();
         regions.dedup();
         for region in &regions {
-            all.push(DeclaredObject::Region(RegionObject {
-                name: (*region).into(),
-            }));
+            all.push(DeclaredObject::Region(RegionObject { name: (*region).into() }));
             for other in regions.iter().filter(|other| *other != region) {
                 all.push(DeclaredObject::Link(LinkObject {
                     name: format!("{region}-{other}").as_str().into(),
@@ -440,11 +389,7 @@
     }
 
     fn service(&self) -> ServiceObject {
-        let safe = KindPolicy {
-            weight: 1,
-            deadline_ms: 10_000,
-            ..KindPolicy::default()
-        };
+        let safe = KindPolicy { weight: 1, deadline_ms: 10_000, ..KindPolicy::default() };
         let never = KindPolicy {
             weight: 5,
             repeat: RepeatRule::Never,
@@ -452,17 +397,10 @@
             request_bytes: 1 << 20,
             ..KindPolicy::default()
         };
-        let kinds = [
-            ("read".into(), safe.clone()),
-            ("upload".into(), safe),
-            ("book".into(), never),
-        ];
+        let kinds =
+            [("read".into(), safe.clone()), ("upload".into(), safe), ("book".into(), never)];
         let lookup_ttl_ms = self.plan.ttl_ms;
-        ServiceObject {
-            name: "desk".into(),
-            kinds: kinds.into(),
-            lookup_ttl_ms,
-        }
+        ServiceObject { name: "desk".into(), kinds: kinds.into(), lookup_ttl_ms }
     }
 
     pub fn url(&self, at: usize, path: &str) -> String {
@@ -470,18 +408,12 @@
     }
 
     pub async fn status(&self, at: usize) -> Option<StatusAnswer> {
-        let asking = self
-            .client
-            .get(self.url(at, "/v1/status"))
-            .timeout(Duration::from_secs(2));
+        let asking = self.client.get(self.url(at, "/v1/status")).timeout(Duration::from_secs(2));
         asking.send().await.ok()?.json().await.ok()
     }
 
     pub async fn config(&self, at: usize) -> Option<ConfigAnswer> {
-        let asking = self
-            .client
-            .get(self.url(at, "/v1/config"))
-            .timeout(Duration::from_secs(2));
+        let asking = self.client.get(self.url(at, "/v1/config")).timeout(Duration::from_secs(2));
         asking.send().await.ok()?.json().await.ok()
     }
 
@@ -494,24 +426,9 @@
         objects: Vec<DeclaredObject>,
     ) -> Option<PublishAnswer> {
         let base = ConfigVersion(base);
-        let body = PublishBody {
-            request: RequestTag::new(tag),
-            base,
-            objects,
-        };
-        let posting = self
-            .client
-            .post(self.url(at, "/v1/publish"))
-            .bearer_auth(TOKEN)
-            .json(&body);
-        posting
-            .timeout(Duration::from_secs(10))
-            .send()
-            .await
-            .ok()?
-            .json()
-            .await
-            .ok()
+        let body = PublishBody { request: RequestTag::new(tag), base, objects };
+        let posting = self.client.post(self.url(at, "/v1/publish")).bearer_auth(TOKEN).json(&body);
+        posting.timeout(Duration::from_secs(10)).send().await.ok()?.json().await.ok()
     }
 
     /// Publishes until accepted, and waits until the version is in force at every daemon that runs.
@@ -521,9 +438,7 @@
             let Some(config) = self.config(0).await else {
                 return false;
             };
-            let answer = self
-                .publish(0, tag, config.version.0, objects.clone())
-                .await;
+            let answer = self.publish(0, tag, config.version.0, objects.clone()).await;
             let Some(PublishAnswer::Accepted { version: got }) = answer else {
                 return false;
             };
@@ -541,28 +456,15 @@
         for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].child.is_some()) {
             until("a version is in force", || async {
                 let status = self.status(at).await;
-                status
-                    .and_then(|s| s.version)
-                    .is_some_and(|v| v.0 >= version)
+                status.and_then(|s| s.version).is_some_and(|v| v.0 >= version)
             })
             .await;
         }
     }
 
     pub async fn change_replicas(&self, at: usize, body: &ReplicaBody) -> Option<ReplicaAnswer> {
-        let posting = self
-            .client
-            .post(self.url(at, "/v1/replicas"))
-            .bearer_auth(TOKEN)
-            .json(body);
-        posting
-            .timeout(Duration::from_secs(3))
-            .send()
-            .await
-            .ok()?
-            .json()
-            .await
-            .ok()
+        let posting = self.client.post(self.url(at, "/v1/replicas")).bearer_auth(TOKEN).json(body);
+        posting.timeout(Duration::from_secs(3)).send().await.ok()?.json().await.ok()
     }
 
     /// The daemon that leads now.
@@ -570,11 +472,7 @@
         let deadline = Instant::now() + PATIENCE;
         loop {
             for at in (0..self.plan.replicas).filter(|at| self.nodes[*at].child.is_some()) {
-                let role = self
-                    .status(at)
-                    .await
-                    .and_then(|s| s.replica)
-                    .map(|r| r.role);
+                let role = self.status(at).await.and_then(|s| s.replica).map(|r| r.role);
                 if role.as_deref() == Some("leader") {
                     return at;
                 }
--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -65,11 +65,7 @@
                 tokio::spawn(carry(stream, target, Arc::clone(&shared)));
             }
         });
-        Ok(Self {
-            address,
-            faults,
-            task,
-        })
+        Ok(Self { address, faults, task })
     }
 
     pub fn set(&self, faults: ProxyFaults) {
@@ -78,15 +74,8 @@
 
     /// Delays both ways.
     pub fn delay(&self, delay: Duration) {
-        let way = WayFaults {
-            delay,
-            ..WayFaults::default()
-        };
-        self.set(ProxyFaults {
-            forth: way,
-            back: way,
-            cut: false,
-        });
+        let way = WayFaults { delay, ..WayFaults::default() };
+        self.set(ProxyFaults { forth: way, back: way, cut: false });
     }
 
     pub fn cut(&self) {
@@ -107,12 +96,8 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let (forth, back) = (Arc::clone(&faults), Arc::clone(&faults));
-    let mut one = tokio::spawn(pass(near_read, far_write, move || {
-        forth.lock().unwrap().forth
-    }));
-    let mut other = tokio::spawn(pass(far_read, near_write, move || {
-        back.lock().unwrap().back
-    }));
+    let mut one = tokio::spawn(pass(near_read, far_write, move || forth.lock().unwrap().forth));
+    let mut other = tokio::spawn(pass(far_read, near_write, move || back.lock().unwrap().back));
     loop {
         tokio::select! {
             _ = &mut one => break,
@@ -125,11 +110,8 @@
         }
     }
     // A side that closed may still be owed what is under way.
-    let grace = if faults.lock().unwrap().cut {
-        Duration::ZERO
-    } else {
-        Duration::from_millis(200)
-    };
+    let grace =
+        if faults.lock().unwrap().cut { Duration::ZERO } else { Duration::from_millis(200) };
     sleep(grace).await;
     one.abort();
     other.abort();
@@ -143,12 +125,7 @@
     let reading = tokio::spawn(async move {
         let mut chunk = vec![0; CHUNK_BYTES];
         while let Ok(count) = from.read(&mut chunk).await {
-            if count == 0
-                || sender
-                    .send((Instant::now(), chunk[..count].to_vec()))
-                    .await
-                    .is_err()
-            {
+            if count == 0 || sender.send((Instant::now(), chunk[..count].to_vec())).await.is_err() {
                 break;
             }
         }
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -169,10 +169,7 @@
         }
         let busy = self.running.load(Ordering::SeqCst) + self.waiting.load(Ordering::SeqCst);
         let load = faults.reported_load.unwrap_or(busy);
-        let said = TargetLoad {
-            load,
-            draining: faults.draining,
-        };
+        let said = TargetLoad { load, draining: faults.draining };
         Response::builder().body(serde_json::to_vec(&said).unwrap())
     }
 
@@ -190,10 +187,7 @@
     fn shed_answer(&self) -> Response {
         self.shed.fetch_add(1, Ordering::SeqCst);
         let answer = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
-        answer
-            .header(OUTCOME_HEADER, "not-run")
-            .header("retry-after", "1")
-            .finish()
+        answer.header(OUTCOME_HEADER, "not-run").header("retry-after", "1").finish()
     }
 
     async fn run(&self, request: Request) -> Response {
@@ -214,10 +208,7 @@
         self.waiting.fetch_sub(1, Ordering::SeqCst);
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         self.peak.fetch_max(running, Ordering::SeqCst);
-        let mut guard = RunningGuard {
-            target: self,
-            done: false,
-        };
+        let mut guard = RunningGuard { target: self, done: false };
         self.ran.fetch_add(1, Ordering::SeqCst);
         if let Some(key) = key {
             *self.ledger.lock().unwrap().keys.entry(key).or_default() += 1;
@@ -239,11 +230,7 @@
                 .header("content-length", "5")
                 .body(Body::from_bytes_stream(broken));
         }
-        let digest: String = hasher
-            .finalize()
-            .iter()
-            .map(|b| format!("{b:02x}"))
-            .collect();
+        let digest: String = hasher.finalize().iter().map(|b| format!("{b:02x}")).collect();
         if size == 0 {
             let text = format!("{} ran {path} {received} {digest}\n", self.plan.name);
             return Response::builder().content_type("text/plain").body(text);
@@ -253,20 +240,14 @@
 
     fn service_ms(&self) -> u64 {
         let cold = self.ran.load(Ordering::SeqCst) < self.plan.cold_requests;
-        if cold {
-            self.plan.cold_ms
-        } else {
-            self.plan.service_ms
-        }
+        if cold { self.plan.cold_ms } else { self.plan.service_ms }
     }
 }
 
 fn query_number(path: &str, name: &str) -> Option<u64> {
     let query = path.split_once('?')?.1;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .filter(|(key, _)| *key == name)
-        .find_map(|(_, value)| value.parse().ok())
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
 }
 
 /// The byte at a place of a large answer.
@@ -284,9 +265,7 @@
     });
     let cut = cut_after.is_some().then(|| Err(io::Error::other("cut")));
     let body = Body::from_bytes_stream(stream::iter(pieces.chain(cut)));
-    Response::builder()
-        .header("content-length", size.to_string())
-        .body(body)
+    Response::builder().header("content-length", size.to_string()).body(body)
 }
 
 /// The platform's list of instances.
@@ -316,10 +295,6 @@
         let task = tokio::spawn(async move {
             let _ = server.run(route).await;
         });
-        Ok(Self {
-            address,
-            lines,
-            task,
-        })
+        Ok(Self { address, lines, task })
     }
 }
