--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -28,6 +28,7 @@
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
     tempfile::TempDir,
@@ -105,10 +106,17 @@
     _folder: TempDir,
 }
 
-/// Returns a free port on loopback.
+/// Returns a free port on loopback, below those that the system gives to outgoing connections: one
+/// of those could be taken again before the daemon listens.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let offset = (std::process::id() as u16 % 50) * 400 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + offset % 20_000));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Returns the path of a program of the workspace.
@@ -204,6 +212,9 @@
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         self.kill();
+        if std::thread::panicking() {
+            eprintln!("-- log of {}\n{}", self.name, self.log_text());
+        }
     }
 }
 
