--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -28,7 +28,10 @@
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU16, Ordering},
+        sync::{
+            Mutex,
+            atomic::{AtomicU16, Ordering},
+        },
         time::Duration,
     },
     tempfile::TempDir,
@@ -92,7 +95,7 @@
     pub settings: PathBuf,
     pub data: Option<PathBuf>,
     pub log: PathBuf,
-    child: Option<Child>,
+    child: Mutex<Option<Child>>,
 }
 
 /// A running cluster.
@@ -149,21 +152,25 @@
 }
 
 impl NodeProcess {
-    pub fn start(&mut self) {
-        assert!(self.child.is_none(), "{} runs already", self.name);
+    pub fn start(&self) {
+        assert!(!self.runs(), "{} runs already", self.name);
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(program("hemlockspoold"));
         command.arg("--settings").arg(&self.settings);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn().unwrap());
+        *self.child.lock().unwrap() = Some(command.spawn().unwrap());
+    }
+
+    pub fn runs(&self) -> bool {
+        self.child.lock().unwrap().is_some()
     }
 
     pub fn pid(&self) -> i32 {
-        self.child.as_ref().map(|child| child.id() as i32).expect("it runs")
+        self.child.lock().unwrap().as_ref().map(|child| child.id() as i32).expect("it runs")
     }
 
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -186,14 +193,14 @@
     }
 
     /// Asks for a planned stop and waits for its end; returns the exit code.
-    pub async fn stop(&mut self) -> Option<i32> {
+    pub async fn stop(&self) -> Option<i32> {
         self.signal(libc::SIGTERM);
         self.ended().await
     }
 
     /// Waits until the process has ended by itself.
-    pub async fn ended(&mut self) -> Option<i32> {
-        let mut child = self.child.take().expect("it runs");
+    pub async fn ended(&self) -> Option<i32> {
+        let mut child = self.child.lock().unwrap().take().expect("it runs");
         let deadline = Instant::now() + PATIENCE;
         loop {
             if let Some(status) = child.try_wait().unwrap() {
@@ -221,8 +228,8 @@
 impl TestCluster {
     /// Starts targets and daemons, makes the first replica and adds the others.
     pub async fn start(plan: ClusterPlan) -> Self {
-        let mut cluster = Self::prepare(plan).await;
-        for node in &mut cluster.nodes {
+        let cluster = Self::prepare(plan).await;
+        for node in &cluster.nodes {
             node.start();
         }
         cluster.form().await;
@@ -246,7 +253,7 @@
                     data: (nodes.len() < plan.replicas).then(|| folder.path().join(&name)),
                     log: folder.path().join(format!("{name}.log")),
                     name,
-                    child: None,
+                    child: Mutex::default(),
                 });
             }
             for place in 0..domain.targets {
@@ -464,7 +471,7 @@
 
     /// Waits until a version is in force at every daemon that runs.
     pub async fn in_force(&self, version: u64) {
-        for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].child.is_some()) {
+        for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].runs()) {
             until("a version is in force", || async {
                 let status = self.status(at).await;
                 status.and_then(|s| s.version).is_some_and(|v| v.0 >= version)
@@ -482,7 +489,7 @@
     pub async fn leader(&self) -> usize {
         let deadline = Instant::now() + PATIENCE;
         loop {
-            for at in (0..self.plan.replicas).filter(|at| self.nodes[*at].child.is_some()) {
+            for at in (0..self.plan.replicas).filter(|at| self.nodes[*at].runs()) {
                 let role = self.status(at).await.and_then(|s| s.replica).map(|r| r.role);
                 if role.as_deref() == Some("leader") {
                     return at;
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -10,7 +10,7 @@
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         io,
         net::SocketAddr,
         sync::{
@@ -48,6 +48,9 @@
     }
 }
 
+/// The header by which a test marks each sending.
+pub const MARK_HEADER: &str = "x-mark";
+
 /// How the target misbehaves.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -68,7 +71,8 @@
 pub struct StandLedger {
     /// How often each key ran.
     pub keys: BTreeMap<String, u64>,
-    pub paths: Vec<String>,
+    /// The sendings that ran, by the mark that the sender put on each.
+    pub marks: BTreeSet<String>,
 }
 
 pub struct StandTarget {
@@ -200,6 +204,8 @@
         let path = request.uri().to_string();
         let key = request.headers().get(KEY_HEADER);
         let key = key.and_then(|key| key.to_str().ok()).map(str::to_owned);
+        let mark = request.headers().get(MARK_HEADER);
+        let mark = mark.and_then(|mark| mark.to_str().ok()).map(str::to_owned);
         let asked = |name: &str| query_number(&path, name);
         let service_ms = asked("service_ms").unwrap_or_else(|| self.service_ms());
         let size = asked("bytes").unwrap_or(0) as usize;
@@ -213,6 +219,9 @@
         if let Some(key) = key {
             *self.ledger.lock().unwrap().keys.entry(key).or_default() += 1;
         }
+        if let Some(mark) = mark {
+            self.ledger.lock().unwrap().marks.insert(mark);
+        }
         let mut hasher = Sha256::new();
         let mut stream = request.into_body().into_bytes_stream();
         let mut received = 0;
--- a/crates/testkit/tests/publication.rs
+++ b/crates/testkit/tests/publication.rs
@@ -102,7 +102,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn publication_leader_killed() {
-    let mut cluster = TestCluster::start(five_domains()).await;
+    let cluster = TestCluster::start(five_domains()).await;
     cluster.publish_in_force("first", cluster.objects()).await;
     for round in 0..3 {
         let base = cluster.config(4).await.unwrap().version.0;
@@ -189,7 +189,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn publication_restart_after_many_changes() {
-    let mut cluster = TestCluster::start(five_domains()).await;
+    let cluster = TestCluster::start(five_domains()).await;
     cluster.publish_in_force("first", cluster.objects()).await;
     let down = (cluster.leader().await + 1) % 3;
     cluster.nodes[down].kill();
@@ -212,10 +212,10 @@
     cluster.in_force(base).await;
     assert!(started.elapsed() < IN_FORCE_MAX, "in force after {:?}", started.elapsed());
     // All at once: what is in force afterwards is what was before.
-    for node in &mut cluster.nodes {
+    for node in &cluster.nodes {
         node.kill();
     }
-    for node in &mut cluster.nodes {
+    for node in &cluster.nodes {
         node.start();
     }
     cluster.in_force(base).await;
