--- a/crates/core/src/domain.rs
+++ b/crates/core/src/domain.rs
@@ -2,13 +2,15 @@
 The entries of one failure domain, and how they share what the domain has.
 
 Entries of a domain tell each other that they serve. Each splits the domain's slots and limits by
-rank among those that it hears. An entry uses its part only once every other one that it hears says
-that it hears it too, so that the parts of two entries that overlap in time never add up to more
-than the whole:
+rank among those that it hears. The parts of two entries must never add up to more than the whole,
+also while one comes, goes, stands still or comes back:
 
-* One that starts, or that stood still, waits until the others count it, or until they would have
-  dropped it and it hears nobody.
-* One that goes silent keeps its part until the others' lease on it has run out.
+* An entry that hears a newcomer makes do with its smaller part at once, but says that it counts the
+  newcomer only when what it has in flight fits into that part.
+* An entry uses the larger of an old and a new part only once every entry that it hears counts the
+  same ones, so that whoever has to give way has given way. One that starts, or that stood still,
+  has no old part.
+* An entry that goes silent keeps its part until the others' lease on it has run out.
 
 This rests on networks being cut between failure domains and not within one, as the platform has it.
 */
@@ -18,7 +20,8 @@
         clock::Moment,
         effect::NodeEffect,
         notes::NodeNote,
-        wire::{PeerMessage, PeerSender},
+        util::stable_hash,
+        wire::{PeerMessage, PeerPulse, PeerSender, PulseMark},
     },
     hemlockspool_model::{
         names::{DomainName, InstanceName},
@@ -42,7 +45,10 @@
 struct PeerView {
     peer: SocketAddr,
     heard: Moment,
-    hears_me: bool,
+    /// The digest of the entries that it counts; none while it has yet to give way.
+    counts: Option<u64>,
+    /// The mark of its latest pulse.
+    mark: PulseMark,
     replica: bool,
     leaving: bool,
 }
@@ -51,50 +57,69 @@
 #[derive(Clone, Debug)]
 pub struct DomainPeers {
     me: InstanceName,
+    incarnation: u64,
     my_replica: bool,
     leaving: bool,
     peers: BTreeMap<InstanceName, PeerView>,
     declared: BTreeSet<InstanceName>,
     addresses: BTreeMap<InstanceName, SocketAddr>,
+    /// This instance's place when all last agreed; none since it started or stood still.
+    agreed_place: Option<SharePlace>,
+    /// Whether what this instance has in flight fits into its part.
+    fits: bool,
     fresh_since: Moment,
     last_tick: Moment,
     pulse_due: Moment,
 }
 
-/// The part of what a failure domain has that one entry may use.
+/// A place among the entries that serve.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DomainShare {
-    /// This entry's place among those that serve.
+pub struct SharePlace {
+    /// This entry's rank.
     pub rank: u32,
     /// How many serve.
     pub count: u32,
-    /// Whether this entry may use its part now.
-    pub usable: bool,
 }
 
-impl DomainShare {
-    /// Returns this entry's part of a whole number of units; the parts of all ranks add up to it.
-    /// The salt decides who gets the units that are left over.
-    pub fn of(&self, whole: u64, salt: u64) -> u64 {
-        if !self.usable {
-            return 0;
-        }
+impl SharePlace {
+    fn part(self, whole: u64, salt: u64) -> u64 {
         let count = u64::from(self.count.max(1));
         let turn = (u64::from(self.rank) + salt % count) % count;
         whole / count + u64::from(turn < whole % count)
     }
 }
 
+/// The part of what a failure domain has that one entry may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DomainShare {
+    /// The place by whom this entry hears.
+    pub place: SharePlace,
+    /// The place when all last agreed; none for an entry that may use nothing yet.
+    pub agreed: Option<SharePlace>,
+}
+
+impl DomainShare {
+    /// Returns this entry's part of a whole number of units; the parts of all entries never add up
+    /// to more. The salt decides who gets the units that are left over.
+    pub fn of(&self, whole: u64, salt: u64) -> u64 {
+        let Some(agreed) = self.agreed else { return 0 };
+        self.place.part(whole, salt).min(agreed.part(whole, salt))
+    }
+}
+
 impl DomainPeers {
     /// Makes the view of an instance that just started.
-    pub fn new(me: InstanceName, my_replica: bool, now: Moment) -> Self {
+    pub fn new(me: InstanceName, incarnation: u64, my_replica: bool, now: Moment) -> Self {
         Self {
             me,
+            incarnation,
             my_replica,
             leaving: false,
             peers: BTreeMap::new(),
             declared: BTreeSet::new(),
             addresses: BTreeMap::new(),
+            agreed_place: None,
+            fits: true,
             fresh_since: now,
             last_tick: now,
             pulse_due: now,
@@ -102,12 +127,20 @@
     }
 
     /// Takes in who is declared for the failure domain.
-    pub fn declare(&mut self, set: &ObjectSet, domain: &DomainName) {
+    ///
+    /// An instance that wasn't declared before doesn't know yet who else serves.
+    pub fn declare(&mut self, set: &ObjectSet, domain: &DomainName, now: Moment) {
         let own = || set.entries.values().filter(|entry| entry.domain == *domain);
+        let known = self.declared.contains(&self.me);
         self.declared = own().map(|entry| entry.name.clone()).collect();
         let others = own().filter(|entry| entry.name != self.me);
         self.addresses = others.map(|entry| (entry.name.clone(), entry.peer)).collect();
         self.peers.retain(|name, _| self.declared.contains(name));
+        if !known {
+            self.start_over(now);
+        }
+        // Others can't count this instance before they have heard it.
+        self.pulse_due = Moment(0);
     }
 
     /// Returns the names that are counted, this instance included.
@@ -128,12 +161,26 @@
 
     /// Returns the part that this instance may use.
     pub fn share(&self, now: Moment) -> DomainShare {
+        // Between waking up from a standstill and the first tick, nothing known is current.
+        let awake = now.since(self.last_tick) <= STANDSTILL;
+        DomainShare { place: self.place(now), agreed: self.agreed_place.filter(|_| awake) }
+    }
+
+    fn place(&self, now: Moment) -> SharePlace {
         let members = self.members(now);
         let rank = members.iter().position(|name| *name == self.me).unwrap_or(0);
-        let counted = self.live(now).all(|(_, view)| view.hears_me);
-        let alone = self.declared.iter().all(|name| members.contains(name));
-        let settled = alone || now.since(self.fresh_since) >= PULSE_LEASE;
-        DomainShare { rank: rank as u32, count: members.len() as u32, usable: counted && settled }
+        SharePlace { rank: rank as u32, count: members.len() as u32 }
+    }
+
+    /// Tells whether all entries that are heard count the same ones and have given way.
+    fn all_agree(&self, now: Moment) -> bool {
+        let members = self.members(now);
+        let complete = self.declared.iter().all(|name| members.contains(name));
+        let waited = now.since(self.fresh_since) >= PULSE_LEASE;
+        let digest = members_digest(&members);
+        let same = self.live(now).all(|(_, view)| view.counts == Some(digest));
+        let declared = self.declared.contains(&self.me);
+        declared && self.fits && same && (complete || waited)
     }
 
     /// Returns the entry that fetches the configuration for the domain, and where it listens;
@@ -162,29 +209,32 @@
     }
 
     /// Hears a pulse.
-    pub fn hear(
-        &mut self,
-        sender: &PeerSender,
-        hears: &[InstanceName],
-        replica: bool,
-        leaving: bool,
-        now: Moment,
-    ) {
-        let hears_me = hears.contains(&self.me);
-        let view = PeerView { peer: sender.peer, heard: now, hears_me, replica, leaving };
+    ///
+    /// What it says of whom the sender counts stands only if the sender had heard this instance
+    /// since its start or its last standstill: an older pulse may have waited in a buffer while the
+    /// sender took this instance's part over.
+    pub fn hear(&mut self, sender: &PeerSender, pulse: &PeerPulse, now: Moment) {
+        let fresh = pulse.echo.is_some_and(|echo| {
+            echo.incarnation == self.incarnation && echo.sent_at >= self.fresh_since
+        });
+        let counts = pulse.counts.filter(|_| fresh);
+        let PeerPulse { mark, replica, leaving, .. } = *pulse;
+        let view = PeerView { peer: sender.peer, heard: now, counts, mark, replica, leaving };
         if self.peers.insert(sender.name.clone(), view).is_none() {
             // The newcomer should not wait for the next turn to learn that it is counted.
             self.pulse_due = now;
         }
     }
 
-    /// Sends pulses when due, and notices a standstill of this process.
-    pub fn tick(&mut self, now: Moment) -> Vec<NodeEffect> {
+    /// Sends pulses when due, notices a standstill of this process, and takes up its part.
+    ///
+    /// `fits` says whether what this instance has in flight fits into the part that it may use.
+    pub fn tick(&mut self, fits: bool, now: Moment) -> Vec<NodeEffect> {
         let mut effects = Vec::new();
         let gap = now.since(self.last_tick);
         self.last_tick = now;
         if gap > STANDSTILL {
-            self.fresh_since = now;
+            self.start_over(now);
             self.peers.clear();
             effects.push(NodeEffect::Note(NodeNote::Thawed { millis: gap.as_millis() as u64 }));
         }
@@ -196,6 +246,13 @@
             self.peers.remove(&name);
             effects.push(NodeEffect::Note(NodeNote::PeerSilent { name }));
         }
+        if fits != self.fits {
+            self.fits = fits;
+            self.pulse_due = now;
+        }
+        if self.all_agree(now) {
+            self.agreed_place = Some(self.place(now));
+        }
         if now >= self.pulse_due {
             self.pulse_due = now.after(PULSE_EVERY);
             effects.extend(self.pulses(now));
@@ -203,14 +260,33 @@
         effects
     }
 
+    fn start_over(&mut self, now: Moment) {
+        self.fresh_since = now;
+        self.agreed_place = None;
+    }
+
     fn pulses(&self, now: Moment) -> Vec<NodeEffect> {
-        let hears = self.members(now);
+        let counts = self.fits.then(|| members_digest(&self.members(now)));
+        let mark = PulseMark { incarnation: self.incarnation, sent_at: now };
         let (replica, leaving) = (self.my_replica, self.leaving);
-        let message = PeerMessage::Pulse { hears, replica, leaving };
-        self.addresses.values().map(|to| NodeEffect::send(*to, message.clone())).collect()
+        let pulse = |name: &InstanceName| {
+            let echo = self.peers.get(name).map(|view| view.mark);
+            PeerMessage::Pulse(PeerPulse { counts, mark, echo, replica, leaving })
+        };
+        let sends = self.addresses.iter();
+        sends.map(|(name, to)| NodeEffect::send(*to, pulse(name))).collect()
     }
 
     fn live(&self, now: Moment) -> impl Iterator<Item = (&InstanceName, &PeerView)> {
         self.peers.iter().filter(move |(_, view)| now.since(view.heard) < PULSE_LEASE)
     }
 }
+
+fn members_digest(members: &[InstanceName]) -> u64 {
+    let mut bytes = Vec::new();
+    for name in members {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.push(0);
+    }
+    stable_hash(&bytes)
+}
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -21,7 +21,7 @@
         steering::SteeringIndex,
         submit::{EndedCommand, SubmitBook, SubmitPurpose},
         targets::{LoadReport, TargetBoard},
-        wire::{PeerEnvelope, PeerMessage, PeerSender},
+        wire::{PeerEnvelope, PeerMessage},
     },
     hemlockspool_model::{
         api::{LookupAnswer, PublishAnswer, ReplicaAnswer},
@@ -137,14 +137,14 @@
         let replicas: BTreeMap<GroupId, ReplicaNode> =
             replica.map(|replica| (GroupId::default(), replica)).into_iter().collect();
         Self {
-            peers: DomainPeers::new(name.clone(), !replicas.is_empty(), now),
+            peers: DomainPeers::new(name.clone(), identity.incarnation, !replicas.is_empty(), now),
             config: ConfigCopy::new(name, now),
             seeds,
             replicas,
             caps: DomainCaps::default(),
             index: SteeringIndex::default(),
             targets: TargetBoard::default(),
-            requests: RequestBook::default(),
+            requests: RequestBook::new(now),
             submits: SubmitBook::new(identity.incarnation),
             tally_due: now,
             tally_under_way: false,
@@ -209,8 +209,9 @@
         Some(LookupAnswer { entries, ttl_ms, version, confirmed_age_ms })
     }
 
-    /// Books bytes on the link to a region, and returns how long to wait before sending them.
-    pub fn book_link(&mut self, to: &RegionName, bytes: u64, now: Moment) -> Duration {
+    /// Books bytes on the link to a region, and returns how long to wait before sending them; none
+    /// while this entry has no part of the link.
+    pub fn book_link(&mut self, to: &RegionName, bytes: u64, now: Moment) -> Option<Duration> {
         let share = self.peers.share(now);
         self.requests.book_link(to, bytes, &self.caps, share, now)
     }
@@ -239,7 +240,8 @@
 
     fn tick(&mut self, clock: ClockReading) -> Vec<NodeEffect> {
         let now = clock.now;
-        let mut effects = self.peers.tick(now);
+        let fits = self.fits_share(now);
+        let mut effects = self.peers.tick(fits, now);
         for replica in self.replicas.values_mut() {
             effects.extend(replica.tick(&self.seeds, clock));
         }
@@ -308,7 +310,7 @@
         let set = self.config.set();
         self.caps = DomainCaps::new(set, &self.identity.domain, &self.identity.name);
         self.index = SteeringIndex::new(set);
-        self.peers.declare(set, &self.identity.domain);
+        self.peers.declare(set, &self.identity.domain, clock.now);
         self.targets.declare(set, &self.identity.domain, clock.now);
     }
 
@@ -355,22 +357,21 @@
             PeerMessage::ConfigWhole { version, set, notice } => {
                 self.config.take_whole(version, set, notice, is_replica, now)
             }
-            PeerMessage::Pulse { hears, replica, leaving } => {
-                self.hear_pulse(&sender, &hears, replica, leaving, now);
+            PeerMessage::Pulse(pulse) => {
+                self.peers.hear(&sender, &pulse, now);
                 Vec::new()
             }
         }
     }
 
-    fn hear_pulse(
-        &mut self,
-        sender: &PeerSender,
-        hears: &[InstanceName],
-        replica: bool,
-        leaving: bool,
-        now: Moment,
-    ) {
-        self.peers.hear(sender, hears, replica, leaving, now);
+    /// Tells whether what is in flight fits into the part that this instance may use.
+    fn fits_share(&self, now: Moment) -> bool {
+        let share = self.peers.share(now);
+        let in_region = self
+            .caps
+            .in_flight
+            .is_none_or(|part| self.targets.total_in_flight() <= share.of(part, 0));
+        in_region && self.targets.fits(share)
     }
 
     fn operate(
@@ -487,7 +488,8 @@
         for replica in self.replicas.values_mut() {
             effects.extend(replica.hand_over());
         }
-        effects.extend(self.peers.tick(clock.now));
+        let fits = self.fits_share(clock.now);
+        effects.extend(self.peers.tick(fits, clock.now));
         effects
     }
 
--- a/crates/core/src/requests/book.rs
+++ b/crates/core/src/requests/book.rs
@@ -7,8 +7,7 @@
         limits::{LinkPacer, RetryBudget, ShiftWindow},
         queue::QueueMap,
         types::{
-            AttemptPlace, AttemptResult, DispatchOrder, RequestEvent, RequestId, RequestIntake,
-            RequestOrder,
+            AttemptPlace, DispatchOrder, RequestEvent, RequestId, RequestIntake, RequestOrder,
         },
     },
     crate::{
@@ -17,15 +16,11 @@
         domain::DomainShare,
         effect::NodeEffect,
         identity::NodeIdentity,
-        ledger::{
-            ClaimAnswer, ClaimCommand, ClaimKey, ClaimToken, LedgerCommand, LedgerOutcome,
-            SettledAnswer, TallyCount, TallyKey, TallyReport,
-        },
+        ledger::{ClaimKey, ClaimToken, TallyCount, TallyKey, TallyReport},
         spread::ConfigCopy,
         steering::SteeringIndex,
-        submit::{SubmitBook, SubmitPurpose},
+        submit::SubmitBook,
         targets::TargetBoard,
-        util::month_of,
     },
     hemlockspool_model::{
         api::{RefusalBody, RefusalReason, RunOutcome},
@@ -40,21 +35,6 @@
     },
 };
 
-/// How long an entry tries to have a claim recorded.
-const CLAIM_PATIENCE: Duration = Duration::from_secs(3);
-/// How long an entry tries to have an outcome recorded.
-const RECORD_PATIENCE: Duration = Duration::from_secs(300);
-/// When a caller should come back for a claim that isn't settled.
-const CLAIM_RETRY: Duration = Duration::from_secs(1);
-/// For how long an entry elsewhere that couldn't be reached is left alone.
-const REMOTE_PAUSE: Duration = Duration::from_secs(1);
-/// For how long an entry elsewhere that refused is left alone at least.
-const REMOTE_FULL_PAUSE: Duration = Duration::from_millis(50);
-/// Attempts at one request at most.
-const ATTEMPTS_MAX: u32 = 4;
-/// The weight of the latest answer in a kind's mean time.
-const KIND_GAIN: f64 = 0.1;
-
 #[derive(Clone, Debug)]
 pub(super) enum RequestStage {
     /// Its claim is under way.
@@ -102,7 +82,7 @@
 }
 
 /// The open requests of an entry, and what bounds them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RequestBook {
     pub(super) open: BTreeMap<RequestId, OpenRequest>,
     pub(super) queues: QueueMap,
@@ -111,10 +91,10 @@
     pub(super) remote_paused: BTreeMap<(DomainName, ServiceName), Moment>,
     pub(super) links: BTreeMap<LinkName, LinkPacer>,
     pub(super) counts: RequestCounts,
-    kind_times: BTreeMap<(ServiceName, KindName), f64>,
-    retries: RetryBudget,
-    tallies: BTreeMap<TallyKey, TallyCount>,
-    tallies_changed: bool,
+    pub(super) kind_times: BTreeMap<(ServiceName, KindName), f64>,
+    pub(super) retries: RetryBudget,
+    pub(super) tallies: BTreeMap<TallyKey, TallyCount>,
+    pub(super) tallies_changed: bool,
 }
 
 /// Everything around the open requests that a decision looks at.
@@ -133,6 +113,23 @@
 }
 
 impl RequestBook {
+    /// Makes the book of a process that starts.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            open: BTreeMap::new(),
+            queues: QueueMap::new(),
+            shift: ShiftWindow::new(now),
+            by_caller: BTreeMap::new(),
+            remote_paused: BTreeMap::new(),
+            links: BTreeMap::new(),
+            counts: RequestCounts::default(),
+            kind_times: BTreeMap::new(),
+            retries: RetryBudget::default(),
+            tallies: BTreeMap::new(),
+            tallies_changed: false,
+        }
+    }
+
     /// Returns the counts so far.
     pub fn counts(&self) -> &RequestCounts {
         &self.counts
@@ -224,257 +221,6 @@
         Ok(request)
     }
 
-    fn start_claim(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
-        let Some(request) = self.open.get_mut(&id) else {
-            return Vec::new();
-        };
-        let key = ClaimKey {
-            service: request.intake.service.clone(),
-            key: request.intake.key.clone().unwrap_or_default(),
-        };
-        let token = ClaimToken {
-            entry: ctx.identity.name.clone(),
-            incarnation: ctx.identity.incarnation,
-            request: id.0,
-        };
-        request.claim = Some((key.clone(), token.clone()));
-        let digest = request.intake.digest;
-        let retention_ms = request.policy.retention_ms;
-        let left = request.deadline_at.since(ctx.clock.now);
-        let command = LedgerCommand::Claim(ClaimCommand { key, token, digest, retention_ms });
-        let patience = CLAIM_PATIENCE.min(left);
-        let purpose = SubmitPurpose::Claim(id);
-        ctx.submits.submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
-    }
-
-    /// Goes on with a request whose claim came back, or ran out of time.
-    pub(crate) fn claim_ended(
-        &mut self,
-        id: RequestId,
-        outcome: Option<LedgerOutcome>,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        if !self.open.contains_key(&id) {
-            return Vec::new();
-        }
-        use RefusalReason as R;
-        let not_run = RunOutcome::NotRun;
-        match outcome {
-            Some(LedgerOutcome::Claimed(ClaimAnswer::Granted)) => self.place(id, ctx),
-            Some(LedgerOutcome::Claimed(ClaimAnswer::Settled(answer))) => {
-                self.forget_claim(id);
-                vec![NodeEffect::Request { id, order: RequestOrder::Replay(answer) }]
-            }
-            Some(LedgerOutcome::Claimed(ClaimAnswer::Open)) => {
-                self.forget_claim(id);
-                self.give_up(id, R::ClaimOpen, RunOutcome::Unknown, Some(CLAIM_RETRY), ctx)
-            }
-            Some(LedgerOutcome::Claimed(ClaimAnswer::KeyReused)) => {
-                self.forget_claim(id);
-                self.give_up(id, R::KeyReused, not_run, None, ctx)
-            }
-            Some(LedgerOutcome::Claimed(ClaimAnswer::Full)) => {
-                self.forget_claim(id);
-                self.give_up(id, R::ClaimsFull, not_run, None, ctx)
-            }
-            _ => self.give_up(id, R::NoQuorum, not_run, None, ctx),
-        }
-    }
-
-    fn forget_claim(&mut self, id: RequestId) {
-        if let Some(request) = self.open.get_mut(&id) {
-            request.claim = None;
-            request.stage = RequestStage::Answered;
-        }
-    }
-
-    fn attempt_ended(
-        &mut self,
-        id: RequestId,
-        attempt: u32,
-        result: AttemptResult,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        let Some(request) = self.open.get_mut(&id) else {
-            return Vec::new();
-        };
-        let RequestStage::Running { attempt: current, place } = &request.stage else {
-            return Vec::new();
-        };
-        if *current != attempt {
-            return Vec::new();
-        }
-        let place = place.clone();
-        request.stage = RequestStage::Answered;
-        self.free(id, &place, ctx);
-        let mut effects = match result {
-            AttemptResult::Answered { answer, took } => {
-                self.answered(id, &place, answer, took, ctx)
-            }
-            AttemptResult::NotSent => self.not_sent(id, &place, ctx),
-            AttemptResult::NotRun { retry_after } => self.not_run(id, &place, retry_after, ctx),
-            AttemptResult::Broken => self.broken(id, &place, ctx),
-            AttemptResult::Cut => place_failed(&place, ctx),
-        };
-        effects.extend(self.serve_queues(ctx));
-        effects
-    }
-
-    /// Gives the slot of an attempt back.
-    fn free(&mut self, id: RequestId, place: &AttemptPlace, ctx: &mut RequestContext<'_>) {
-        if let AttemptPlace::Local { target } = place {
-            ctx.targets.finished(target);
-        }
-        let Some(request) = self.open.get(&id) else {
-            return;
-        };
-        if let Some(count) = self.by_caller.get_mut(&request.caller) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                self.by_caller.remove(&request.caller);
-            }
-        }
-    }
-
-    fn answered(
-        &mut self,
-        id: RequestId,
-        place: &AttemptPlace,
-        answer: Option<SettledAnswer>,
-        took: Duration,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        let mut effects = Vec::new();
-        if let AttemptPlace::Local { target } = place {
-            effects.extend(ctx.targets.answered(target, took));
-        }
-        self.counts.answered += 1;
-        let Some(request) = self.open.get_mut(&id) else {
-            return effects;
-        };
-        let kind = (request.intake.service.clone(), request.intake.kind.clone());
-        let took_us = took.as_micros() as f64;
-        let mean = self.kind_times.entry(kind).or_insert(took_us);
-        *mean += KIND_GAIN * (took_us - *mean);
-        if !request.intake.forwarded {
-            let key = TallyKey {
-                month: month_of(ctx.clock.wall_ms),
-                service: request.intake.service.clone(),
-                kind: request.intake.kind.clone(),
-            };
-            let count = self.tallies.entry(key).or_default();
-            count.requests += 1;
-            count.weighted += u64::from(request.policy.weight);
-            self.tallies_changed = true;
-        }
-        if let (Some((key, token)), Some(answer)) = (request.claim.take(), answer) {
-            let command = LedgerCommand::Settle { key, token, answer };
-            effects.extend(record(command, ctx));
-        }
-        effects
-    }
-
-    fn not_sent(
-        &mut self,
-        id: RequestId,
-        place: &AttemptPlace,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        let mut effects = place_failed(place, ctx);
-        self.avoid(id, place, REMOTE_PAUSE, ctx);
-        effects.extend(self.try_again(id, true, ctx));
-        effects
-    }
-
-    fn not_run(
-        &mut self,
-        id: RequestId,
-        place: &AttemptPlace,
-        retry_after: Option<Duration>,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        if let AttemptPlace::Local { target } = place {
-            ctx.targets.shed(target, ctx.clock.now);
-        }
-        let pause = retry_after.unwrap_or_default().clamp(REMOTE_FULL_PAUSE, REMOTE_PAUSE);
-        self.avoid(id, place, pause, ctx);
-        self.try_again(id, false, ctx)
-    }
-
-    fn broken(
-        &mut self,
-        id: RequestId,
-        place: &AttemptPlace,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        let mut effects = place_failed(place, ctx);
-        self.avoid(id, place, REMOTE_PAUSE, ctx);
-        let Some(request) = self.open.get_mut(&id) else {
-            return effects;
-        };
-        request.maybe_ran = true;
-        let again = request.policy.repeat == RepeatRule::Safe && request.intake.replayable;
-        effects.extend(if again {
-            self.try_again(id, false, ctx)
-        } else {
-            self.give_up(id, RefusalReason::AttemptFailed, RunOutcome::Unknown, None, ctx)
-        });
-        effects
-    }
-
-    /// Keeps a request from going to the same place again, and others from an entry elsewhere.
-    fn avoid(
-        &mut self,
-        id: RequestId,
-        place: &AttemptPlace,
-        pause: Duration,
-        ctx: &RequestContext<'_>,
-    ) {
-        let Some(request) = self.open.get_mut(&id) else {
-            return;
-        };
-        match place {
-            AttemptPlace::Local { target } => {
-                request.tried.insert(target.clone());
-            }
-            AttemptPlace::Remote { entry, .. } => {
-                let set = ctx.config.set();
-                let Some(object) = set.entries.get(entry) else {
-                    return;
-                };
-                request.tried_domains.insert(object.domain.clone());
-                let key = (object.domain.clone(), request.intake.service.clone());
-                self.remote_paused.insert(key, ctx.clock.now.after(pause));
-            }
-        }
-    }
-
-    fn try_again(
-        &mut self,
-        id: RequestId,
-        free_of_charge: bool,
-        ctx: &mut RequestContext<'_>,
-    ) -> Vec<NodeEffect> {
-        let Some(request) = self.open.get(&id) else {
-            return Vec::new();
-        };
-        // The body of a request that was cut while it was being sent is gone, and so is one that
-        // isn't held.
-        let sendable = request.intake.replayable;
-        let allowed =
-            sendable && request.attempts < ATTEMPTS_MAX && (free_of_charge || self.retries.spend());
-        if allowed {
-            self.counts.retries += u64::from(!free_of_charge);
-            return self.place(id, ctx);
-        }
-        let outcome = if request.maybe_ran { RunOutcome::Unknown } else { RunOutcome::NotRun };
-        let reason = match outcome {
-            RunOutcome::Unknown => RefusalReason::AttemptFailed,
-            _ => RefusalReason::Overloaded,
-        };
-        self.give_up(id, reason, outcome, None, ctx)
-    }
-
     fn close(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
         let Some(request) = self.open.get(&id) else {
             return Vec::new();
@@ -518,14 +264,6 @@
         effects
     }
 
-    fn release_claim(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
-        let claim = self.open.get_mut(&id).and_then(|request| request.claim.take());
-        let Some((key, token)) = claim else {
-            return Vec::new();
-        };
-        record(LedgerCommand::Release { key, token }, ctx)
-    }
-
     fn refusal(
         &mut self,
         id: RequestId,
@@ -579,7 +317,8 @@
         self.tallies_changed = !self.tallies.is_empty();
     }
 
-    /// Books bytes on the link to a region, and returns how long to wait before sending them.
+    /// Books bytes on the link to a region, and returns how long to wait before sending them; none
+    /// while this entry has no part of the link.
     pub(crate) fn book_link(
         &mut self,
         to: &RegionName,
@@ -587,9 +326,9 @@
         caps: &DomainCaps,
         share: DomainShare,
         now: Moment,
-    ) -> Duration {
+    ) -> Option<Duration> {
         let Some((link, rate)) = caps.link_rate(to, share) else {
-            return Duration::ZERO;
+            return Some(Duration::ZERO);
         };
         self.links.entry(link.clone()).or_default().book(bytes, rate, now)
     }
@@ -597,15 +336,3 @@
 
 /// When a caller should come back if nothing better is known.
 const RETRY_DEFAULT: Duration = Duration::from_secs(1);
-
-fn place_failed(place: &AttemptPlace, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
-    match place {
-        AttemptPlace::Local { target } => ctx.targets.failed(target, ctx.clock.now),
-        AttemptPlace::Remote { .. } => Vec::new(),
-    }
-}
-
-fn record(command: LedgerCommand, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
-    let (purpose, patience) = (SubmitPurpose::Record, RECORD_PATIENCE);
-    ctx.submits.submit(command, purpose, patience, ctx.seeds, ctx.clock.now)
-}
--- a/crates/core/src/requests/limits.rs
+++ b/crates/core/src/requests/limits.rs
@@ -15,18 +15,28 @@
 const WINDOW_PIECES: u32 = 20;
 
 /// Admissions within a sliding window of time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ShiftWindow {
     pieces: VecDeque<(Moment, u64)>,
+    started: Moment,
 }
 
 impl ShiftWindow {
-    /// Tells whether one more admission fits.
+    /// Makes the window of a process that starts, which doesn't know what an earlier life of it
+    /// admitted.
+    pub fn new(started: Moment) -> Self {
+        Self { pieces: VecDeque::new(), started }
+    }
+
+    /// Tells whether one more admission fits; none does before one window has passed.
     ///
     /// An admission counts for a piece longer than the window, so that no window however placed
     /// holds more than the ceiling.
     pub fn has_room(&mut self, ceiling: u64, window: Duration, now: Moment) -> bool {
         let stands = window + window / WINDOW_PIECES;
+        if now.since(self.started) <= stands {
+            return false;
+        }
         while self.pieces.front().is_some_and(|(at, _)| now.since(*at) > stands) {
             self.pieces.pop_front();
         }
@@ -53,12 +63,13 @@
 pub const LINK_BACKLOG_MAX: Duration = Duration::from_millis(250);
 
 impl LinkPacer {
-    /// Books bytes at a rate, and returns how long to wait before sending them.
-    pub fn book(&mut self, bytes: u64, bytes_per_second: u64, now: Moment) -> Duration {
+    /// Books bytes at a rate, and returns how long to wait before sending them; none when the rate
+    /// is zero, and nothing is booked.
+    pub fn book(&mut self, bytes: u64, bytes_per_second: u64, now: Moment) -> Option<Duration> {
         let start = self.free_at.max(now);
-        let micros = bytes.saturating_mul(1_000_000) / bytes_per_second.max(1);
+        let micros = bytes.saturating_mul(1_000_000).checked_div(bytes_per_second)?;
         self.free_at = start.after(Duration::from_micros(micros));
-        start.since(now)
+        Some(start.since(now))
     }
 
     /// Returns how far ahead the link is booked.
--- a/crates/core/src/requests/place.rs
+++ b/crates/core/src/requests/place.rs
@@ -36,6 +36,14 @@
     cost: Duration,
 }
 
+/// A place in the queue that a request may have.
+struct WaitingRoom {
+    /// The time until its turn.
+    wait: Duration,
+    /// Whether another's request must go for it.
+    by_eviction: bool,
+}
+
 impl RequestBook {
     /// Decides on a request that has what it needs to run.
     pub(super) fn place(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
@@ -54,13 +62,13 @@
         {
             return vec![effect];
         }
-        let wait = self.expected_wait(&service, waiting, ctx);
-        let wait =
-            wait.filter(|wait| self.may_wait(&request, *wait, left.saturating_sub(needed), ctx));
+        let room = self.waiting_room(&request, left.saturating_sub(needed), ctx);
         let remote = self.remote_option(&request, ctx);
-        match (wait, remote) {
-            (Some(wait), Some(remote)) if wait > remote.cost => self.run_there(id, remote, ctx),
-            (Some(_), _) => self.wait_here(id, ctx),
+        match (room, remote) {
+            (Some(room), Some(remote)) if room.wait > remote.cost => {
+                self.run_there(id, remote, ctx)
+            }
+            (Some(room), _) => self.wait_here(id, &room, ctx),
             (None, Some(remote)) => self.run_there(id, remote, ctx),
             (None, None) => {
                 let (reason, retry_after) = self.why_nowhere(&request, ctx);
@@ -105,28 +113,31 @@
         effects
     }
 
-    /// Ends waiting requests whose time can't be kept any more.
+    /// Ends waiting requests whose time can't be kept any more, and passes on those that have
+    /// waited for longer than that costs: slots were held for longer than expected.
     pub(crate) fn expire_queues(&mut self, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
         let ids: Vec<RequestId> = self.queues.values().flat_map(|queue| queue.ids()).collect();
         let mut effects = Vec::new();
         for id in ids {
-            let Some(request) = self.open.get(&id) else {
-                continue;
-            };
-            let RequestStage::Queued { since } = request.stage else {
-                continue;
-            };
-            let needed = self.kind_time(request).unwrap_or_default();
+            let Some(request) = self.open.get(&id).cloned() else { continue };
+            let RequestStage::Queued { since } = request.stage else { continue };
+            let waited = ctx.clock.now.since(since);
+            let needed = self.kind_time(&request).unwrap_or_default();
             let late = ctx.clock.now.after(needed / 2) > request.deadline_at;
-            if !late && ctx.clock.now.since(since) < WAIT_MAX {
+            let over = late || waited >= WAIT_MAX;
+            let remote = if over { None } else { self.remote_option(&request, ctx) };
+            let remote = remote.filter(|remote| waited >= remote.cost);
+            if !over && remote.is_none() {
                 continue;
             }
-            let reason =
-                if late { RefusalReason::DeadlineTooShort } else { RefusalReason::Overloaded };
-            if let Some(queue) = self.queues.get_mut(&request.intake.service.clone()) {
+            if let Some(queue) = self.queues.get_mut(&request.intake.service) {
                 queue.remove(id);
             }
-            effects.extend(self.refuse_unrun(id, reason, None, ctx));
+            effects.extend(match remote {
+                Some(remote) => self.run_there(id, remote, ctx),
+                None if late => self.refuse_unrun(id, RefusalReason::DeadlineTooShort, None, ctx),
+                None => self.refuse_unrun(id, RefusalReason::Overloaded, None, ctx),
+            });
         }
         effects
     }
@@ -173,14 +184,21 @@
         self.start(id, place, entry.http, ctx).into_iter().collect()
     }
 
-    fn wait_here(&mut self, id: RequestId, ctx: &mut RequestContext<'_>) -> Vec<NodeEffect> {
+    fn wait_here(
+        &mut self,
+        id: RequestId,
+        room: &WaitingRoom,
+        ctx: &mut RequestContext<'_>,
+    ) -> Vec<NodeEffect> {
         let Some(request) = self.open.get_mut(&id) else {
             return Vec::new();
         };
         request.stage = RequestStage::Queued { since: ctx.clock.now };
         let queue = self.queues.entry(request.intake.service.clone()).or_default();
+        let evicted = if room.by_eviction { queue.evict() } else { None };
         queue.push(&request.intake.kind, request.policy.weight, &request.caller, id);
-        Vec::new()
+        let reason = RefusalReason::CallerOverShare;
+        evicted.map_or(Vec::new(), |id| self.refuse_unrun(id, reason, None, ctx))
     }
 
     fn refuse_unrun(
@@ -224,36 +242,33 @@
         }
     }
 
-    fn expected_wait(
-        &self,
-        service: &ServiceName,
-        waiting: usize,
-        ctx: &RequestContext<'_>,
-    ) -> Option<Duration> {
-        let slots = ctx.targets.usable_slots(service, ctx.share, ctx.clock.now);
-        let full = waiting >= slots as usize * WAITING_PER_SLOT;
-        if slots == 0 || full {
-            return None;
-        }
-        let turns = (waiting + 1) as f64 / f64::from(slots);
-        Some(ctx.targets.service_time(service).mul_f64(turns))
-    }
-
-    fn may_wait(
+    /// Returns how a request may wait, if it may.
+    ///
+    /// Callers share the places in the queue evenly. One with less than its part gets the latest
+    /// place of the caller that has most, so that a flood doesn't keep others out.
+    fn waiting_room(
         &mut self,
         request: &OpenRequest,
-        wait: Duration,
         spare: Duration,
         ctx: &RequestContext<'_>,
-    ) -> bool {
+    ) -> Option<WaitingRoom> {
         let service = &request.intake.service;
         let slots = ctx.targets.usable_slots(service, ctx.share, ctx.clock.now) as usize;
-        let fair = self.queues.get(service).is_none_or(|queue| {
-            let own = queue.caller_len(&request.caller);
-            let others = queue.callers() + usize::from(own == 0);
-            own < (slots * WAITING_PER_SLOT).div_ceil(others.max(1))
-        });
-        fair && wait <= spare && wait <= WAIT_MAX && self.shift_has_room(request.intake.id, ctx)
+        if slots == 0 || !self.shift_has_room(request.intake.id, ctx) {
+            return None;
+        }
+        let places = slots * WAITING_PER_SLOT;
+        let (waiting, own, callers) = match self.queues.get(service) {
+            Some(queue) => (queue.len(), queue.caller_len(&request.caller), queue.callers()),
+            None => (0, 0, 0),
+        };
+        let sharing = callers + usize::from(own == 0);
+        let by_eviction = waiting >= places;
+        let turns = (waiting + usize::from(!by_eviction)) as f64 / slots as f64;
+        let wait = ctx.targets.service_time(service).mul_f64(turns);
+        let fair = own < places.div_ceil(sharing.max(1));
+        let in_time = wait <= spare && wait <= WAIT_MAX;
+        (fair && in_time).then_some(WaitingRoom { wait, by_eviction })
     }
 
     fn remote_option(
@@ -313,11 +328,12 @@
             return Some(RemoteOption { entry, link: None, cost: NEAR_COST });
         }
         let region = set.region_of(domain)?;
-        let link = ctx.caps.links.get(region).map(|part| part.link.clone());
-        let free = link.as_ref().is_none_or(|link| {
-            let pacer = self.links.get(link);
-            pacer.is_none_or(|pacer| pacer.backlog(ctx.clock.now) < LINK_BACKLOG_MAX)
+        let part = ctx.caps.link_rate(region, ctx.share);
+        let free = part.is_none_or(|(link, rate)| {
+            let backlog = self.links.get(link).map(|pacer| pacer.backlog(ctx.clock.now));
+            rate > 0 && backlog.unwrap_or_default() < LINK_BACKLOG_MAX
         });
+        let link = part.map(|(link, _)| link.clone());
         free.then_some(RemoteOption { entry, link, cost: FAR_COST })
     }
 
--- a/crates/core/src/requests/queue.rs
+++ b/crates/core/src/requests/queue.rs
@@ -82,6 +82,15 @@
         Some(id)
     }
 
+    /// Takes out the latest request of the caller that has most waiting.
+    pub fn evict(&mut self) -> Option<RequestId> {
+        let lines = self.kinds.values_mut().flat_map(|line| &mut line.callers);
+        let (_, ids) = lines.max_by_key(|(_, ids)| ids.len())?;
+        let id = ids.back().copied()?;
+        self.remove(id);
+        Some(id)
+    }
+
     pub fn remove(&mut self, id: RequestId) -> bool {
         for line in self.kinds.values_mut() {
             for (_, ids) in &mut line.callers {
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -102,11 +102,15 @@
         !self.leaving() && !self.ejected(now) && now >= self.shed_until
     }
 
+    fn part(&self, share: DomainShare) -> u32 {
+        let salt = stable_hash(self.object.name.as_str().as_bytes());
+        share.of(self.object.slots.into(), salt) as u32
+    }
+
     /// The slots that this entry may fill: its part, less while the target is cold or on trial
     /// after it was shut out.
     fn share(&self, share: DomainShare, now: Moment) -> u32 {
-        let salt = stable_hash(self.object.name.as_str().as_bytes());
-        let part = share.of(self.object.slots.into(), salt) as u32;
+        let part = self.part(share);
         if self.ejected_until.is_some() {
             return part.min(1);
         }
@@ -286,6 +290,11 @@
         vec![NodeEffect::Note(NodeNote::TargetEjected { target: name.clone() })]
     }
 
+    /// Tells whether no target has more in flight from here than this entry's part of its slots.
+    pub fn fits(&self, share: DomainShare) -> bool {
+        self.views.values().all(|view| view.in_flight <= view.part(share))
+    }
+
     /// Returns the slots of a service that this entry may fill now, on targets that take work.
     pub fn usable_slots(&self, service: &ServiceName, share: DomainShare, now: Moment) -> u32 {
         let usable =
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        clock::Moment,
         consensus::{ConsensusMessage, GroupId, ReplicaId},
         ledger::{LedgerCommand, LedgerOutcome, VersionStep},
     },
@@ -81,6 +82,31 @@
     pub leaving: bool,
 }
 
+/// Names one pulse of one life of an entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PulseMark {
+    /// The life.
+    pub incarnation: u64,
+    /// The sender's clock.
+    pub sent_at: Moment,
+}
+
+/// What entries of one failure domain tell each other.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerPulse {
+    /// The digest of the entries that the sender counts, itself included; none while it has more in
+    /// flight than its part among them.
+    pub counts: Option<u64>,
+    /// Names this pulse.
+    pub mark: PulseMark,
+    /// The mark of the latest pulse that the sender heard from the receiver.
+    pub echo: Option<PulseMark>,
+    /// Whether the sender has a data folder.
+    pub replica: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+}
+
 /// What goes with every answer to a poll.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfirmNotice {
@@ -152,15 +178,8 @@
         /// Confirmation of the version.
         notice: ConfirmNotice,
     },
-    /// Tells the entries of a failure domain that the sender serves.
-    Pulse {
-        /// Whom the sender hears, itself included.
-        hears: Vec<InstanceName>,
-        /// Whether the sender has a data folder.
-        replica: bool,
-        /// Whether it is stopping.
-        leaving: bool,
-    },
+    /// Tells an entry of the failure domain that the sender serves.
+    Pulse(PeerPulse),
 }
 
 /// Why bytes aren't a message.
--- a/crates/node/src/http/lookup.rs
+++ b/crates/node/src/http/lookup.rs
@@ -56,7 +56,9 @@
 /// Says whether the instance should get callers.
 #[handler]
 pub(super) fn readyz(shell: Data<&Arc<NodeShell>>) -> StatusCode {
-    let ready =
-        shell.read(|state, _| state.config().version().is_some() && !state.peers().leaving());
+    let ready = shell.read(|state, now| {
+        let has_part = state.peers().share(now).agreed.is_some();
+        state.config().version().is_some() && has_part && !state.peers().leaving()
+    });
     if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -5,22 +5,13 @@
 use {
     super::{lookup, operators},
     crate::{carriage, shell::NodeShell},
+    hemlockspool_serve::EndpointServer,
     miette::Diagnostic,
-    poem::{
-        EndpointExt, Route, Server, endpoint, get,
-        http::uri::Scheme,
-        listener::Acceptor,
-        post,
-        web::{LocalAddr, RemoteAddr},
-    },
+    poem::{EndpointExt, Route, endpoint, get, post},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     thiserror::Error,
-    tokio::net::{TcpListener, TcpStream},
 };
 
-/// For how long an idle connection of a caller is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Why this instance can't listen.
 #[derive(Debug, Diagnostic, Error)]
 #[error("{address}: can't listen for HTTP")]
@@ -33,28 +24,7 @@
 
 /// A listening socket that isn't served yet.
 pub(crate) struct HttpServer {
-    acceptor: PromptAcceptor,
-}
-
-/// Accepts connections that send small answers at once.
-struct PromptAcceptor {
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-impl Acceptor for PromptAcceptor {
-    type Io = TcpStream;
-
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        vec![LocalAddr(self.address.into())]
-    }
-
-    async fn accept(&mut self) -> io::Result<(TcpStream, LocalAddr, RemoteAddr, Scheme)> {
-        let (stream, remote) = self.listener.accept().await?;
-        stream.set_nodelay(true)?;
-        let local = LocalAddr(self.address.into());
-        Ok((stream, local, RemoteAddr(remote.into()), Scheme::HTTP))
-    }
+    server: EndpointServer,
 }
 
 impl HttpServer {
@@ -64,9 +34,9 @@
     ///
     /// [`HttpListenError`] when the address can't be listened on.
     pub(crate) async fn listen(address: SocketAddr) -> Result<Self, HttpListenError> {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.map_err(|source| HttpListenError { address, source })?;
-        Ok(Self { acceptor: PromptAcceptor { listener, address } })
+        let server = EndpointServer::bind(address).await;
+        let server = server.map_err(|source| HttpListenError { address, source })?;
+        Ok(Self { server })
     }
 
     /// Serves until a signal comes, and then until the requests in flight have ended or the grace
@@ -93,9 +63,6 @@
             .at("/metrics", get(operators::show_metrics))
             .at("/s/*path", service)
             .data(shell);
-        let server = Server::new_with_acceptor(self.acceptor).idle_timeout(IDLE_TIMEOUT);
-        let served = server.run_with_graceful_shutdown(routes, signal, Some(grace)).await;
-        // Accepting goes on after single failures; there is nothing to do about the last one.
-        let _ = served;
+        self.server.serve(routes, signal, grace).await;
     }
 }
--- a/crates/node/src/link_stream.rs
+++ b/crates/node/src/link_stream.rs
@@ -9,11 +9,14 @@
     bytes::Bytes,
     futures_util::{Stream, StreamExt, stream},
     hemlockspool_model::names::RegionName,
-    std::{io, sync::Arc},
+    std::{io, sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// The largest piece sent at a time, in bytes.
 const PIECE_BYTES: usize = 16 << 10;
+/// How often an entry without a part of the link looks whether it has one.
+const PART_CHECK: Duration = Duration::from_millis(50);
 
 /// Returns a stream that waits before each piece until the link has room for it.
 pub(crate) fn paced<S>(
@@ -32,8 +35,7 @@
         let (shell, to) = (Arc::clone(&shell), to.clone());
         async move {
             if let Ok(piece) = &piece {
-                let wait = shell.book_link(&to, piece.len() as u64);
-                tokio::time::sleep(wait).await;
+                sleep(wait_for_room(&shell, &to, piece.len() as u64).await).await;
             }
             piece
         }
@@ -45,6 +47,16 @@
     stream::iter(split(body).into_iter().map(Ok))
 }
 
+/// Waits until this entry has a part of the link, and returns how long its pace asks for more.
+async fn wait_for_room(shell: &NodeShell, to: &RegionName, bytes: u64) -> Duration {
+    loop {
+        if let Some(wait) = shell.book_link(to, bytes) {
+            return wait;
+        }
+        sleep(PART_CHECK).await;
+    }
+}
+
 fn split(mut chunk: Bytes) -> Vec<Bytes> {
     let mut pieces = Vec::new();
     while chunk.len() > PIECE_BYTES {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -131,7 +131,7 @@
         &self,
         to: &hemlockspool_model::names::RegionName,
         bytes: u64,
-    ) -> Duration {
+    ) -> Option<Duration> {
         let now = self.now();
         self.lock().state.book_link(to, bytes, now)
     }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         fault_proxy::FaultProxy,
-        stand_in::{StandPlan, StandServer},
+        stand_in::{GroupGauge, StandPlan, StandServer},
     },
     hemlockspool_model::{
         api::{ConfigAnswer, PublishAnswer, PublishBody, ReplicaAnswer, ReplicaBody, StatusAnswer},
@@ -29,7 +29,7 @@
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::{
-            Mutex,
+            Arc, Mutex,
             atomic::{AtomicU16, Ordering},
         },
         time::Duration,
@@ -102,6 +102,8 @@
 pub struct TestCluster {
     pub nodes: Vec<NodeProcess>,
     pub targets: Vec<StandServer>,
+    /// What runs in each region.
+    pub regions: BTreeMap<String, Arc<GroupGauge>>,
     pub client: Client,
     pub plan: ClusterPlan,
     /// Proxies by who dials and whose address is dialed.
@@ -241,6 +243,7 @@
         let folder = TempDir::new().unwrap();
         let mut nodes = Vec::new();
         let mut targets = Vec::new();
+        let mut regions: BTreeMap<String, Arc<GroupGauge>> = BTreeMap::new();
         for domain in &plan.domains {
             for place in 0..domain.entries {
                 let name = format!("{}-e{place}", domain.name);
@@ -260,12 +263,14 @@
                 let name = format!("{}-t{place}", domain.name);
                 let plan = StandPlan { name, ..plan.target.clone() };
                 let any = (Ipv4Addr::LOCALHOST, 0).into();
-                targets.push(StandServer::start(any, plan).await.unwrap());
+                let group = regions.entry(domain.region.to_owned()).or_default();
+                let server = StandServer::start_in(any, plan, Arc::clone(group)).await;
+                targets.push(server.unwrap());
             }
         }
         let client = Client::builder().no_proxy().timeout(PATIENCE).build().unwrap();
         let proxies = BTreeMap::new();
-        let mut cluster = Self { nodes, targets, client, plan, proxies, _folder: folder };
+        let mut cluster = Self { nodes, targets, regions, client, plan, proxies, _folder: folder };
         cluster.write_settings().await;
         cluster
     }
@@ -345,6 +350,11 @@
         routes
     }
 
+    /// The most bytes that one daemon sent to another's HTTP address within any second.
+    pub fn peak_http_bytes(&self, from: usize, to: usize) -> usize {
+        self.proxies[&(from, to)][1].peak_bytes_per_second()
+    }
+
     /// Cuts what one daemon dials at another, or mends it.
     pub fn cut(&self, from: usize, to: usize, cut: bool) {
         for proxy in &self.proxies[&(from, to)] {
@@ -466,9 +476,21 @@
         .await;
         let version = version.get();
         self.in_force(version).await;
+        self.ready().await;
         version
     }
 
+    /// Waits until every daemon that runs is ready for callers.
+    pub async fn ready(&self) {
+        for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].runs()) {
+            until("a daemon is ready", || async {
+                let asking = self.client.get(self.url(at, "/readyz")).send().await;
+                asking.is_ok_and(|answer| answer.status() == 200)
+            })
+            .await;
+        }
+    }
+
     /// Waits until a version is in force at every daemon that runs.
     pub async fn in_force(&self, version: u64) {
         for at in (0..self.nodes.len()).filter(|at| self.nodes[*at].runs()) {
--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -21,6 +21,9 @@
 const CHUNK_BYTES: usize = 16 << 10;
 const FREEZE_CHECK: Duration = Duration::from_millis(10);
 
+/// When how many bytes came in from the dialing side.
+type SentLog = Arc<Mutex<Vec<(Instant, usize)>>>;
+
 /// What happens to the bytes of one way.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WayFaults {
@@ -42,6 +45,7 @@
 pub struct FaultProxy {
     pub address: SocketAddr,
     faults: Arc<Mutex<ProxyFaults>>,
+    sent: SentLog,
     task: JoinHandle<()>,
 }
 
@@ -56,22 +60,38 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let faults: Arc<Mutex<ProxyFaults>> = Arc::default();
-        let shared = Arc::clone(&faults);
+        let sent: SentLog = Arc::default();
+        let (shared, counted) = (Arc::clone(&faults), Arc::clone(&sent));
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 if shared.lock().unwrap().cut {
                     continue;
                 }
-                tokio::spawn(carry(stream, target, Arc::clone(&shared)));
+                tokio::spawn(carry(stream, target, Arc::clone(&shared), Arc::clone(&counted)));
             }
         });
-        Ok(Self { address, faults, task })
+        Ok(Self { address, faults, sent, task })
     }
 
     pub fn set(&self, faults: ProxyFaults) {
         *self.faults.lock().unwrap() = faults;
     }
 
+    /// The most bytes that came in from the dialing side within any second.
+    pub fn peak_bytes_per_second(&self) -> usize {
+        let sent = self.sent.lock().unwrap();
+        let (mut peak, mut sum, mut first) = (0, 0, 0);
+        for (at, bytes) in sent.iter() {
+            sum += bytes;
+            while at.duration_since(sent[first].0) >= Duration::from_secs(1) {
+                sum -= sent[first].1;
+                first += 1;
+            }
+            peak = peak.max(sum);
+        }
+        peak
+    }
+
     /// Delays both ways.
     pub fn delay(&self, delay: Duration) {
         let way = WayFaults { delay, ..WayFaults::default() };
@@ -87,7 +107,12 @@
     }
 }
 
-async fn carry(near: TcpStream, target: SocketAddr, faults: Arc<Mutex<ProxyFaults>>) {
+async fn carry(
+    near: TcpStream,
+    target: SocketAddr,
+    faults: Arc<Mutex<ProxyFaults>>,
+    sent: SentLog,
+) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
@@ -96,8 +121,10 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let (forth, back) = (Arc::clone(&faults), Arc::clone(&faults));
-    let mut one = tokio::spawn(pass(near_read, far_write, move || forth.lock().unwrap().forth));
-    let mut other = tokio::spawn(pass(far_read, near_write, move || back.lock().unwrap().back));
+    let mut one =
+        tokio::spawn(pass(near_read, far_write, Some(sent), move || forth.lock().unwrap().forth));
+    let mut other =
+        tokio::spawn(pass(far_read, near_write, None, move || back.lock().unwrap().back));
     loop {
         tokio::select! {
             _ = &mut one => break,
@@ -117,8 +144,12 @@
     other.abort();
 }
 
-async fn pass<F>(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, way: F)
-where
+async fn pass<F>(
+    mut from: tcp::OwnedReadHalf,
+    mut to: tcp::OwnedWriteHalf,
+    sent: Option<SentLog>,
+    way: F,
+) where
     F: Fn() -> WayFaults + Send + 'static,
 {
     let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(64);
@@ -138,6 +169,9 @@
         if let Some(rate) = way().bytes_per_second {
             sleep(Duration::from_secs_f64(bytes.len() as f64 / rate as f64)).await;
         }
+        if let Some(sent) = &sent {
+            sent.lock().unwrap().push((read_at, bytes.len()));
+        }
         if to.write_all(&bytes).await.is_err() {
             break;
         }
--- a/crates/testkit/src/stand_in.rs
+++ b/crates/testkit/src/stand_in.rs
@@ -6,7 +6,8 @@
     bytes::Bytes,
     futures_util::{StreamExt, stream},
     hemlockspool_model::api::{InstanceLine, KEY_HEADER, OUTCOME_HEADER, TargetLoad},
-    poem::{Body, Request, Response, Server, endpoint, http::StatusCode, listener::TcpAcceptor},
+    hemlockspool_serve::EndpointServer,
+    poem::{Body, Request, Response, endpoint, http::StatusCode},
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
     std::{
@@ -19,7 +20,11 @@
         },
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::Semaphore, task::JoinHandle, time::sleep},
+    tokio::{
+        sync::Semaphore,
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -67,12 +72,21 @@
     pub silent: bool,
 }
 
+/// What runs on several targets together.
+#[derive(Debug, Default)]
+pub struct GroupGauge {
+    running: AtomicU32,
+    pub peak: AtomicU32,
+}
+
 #[derive(Default)]
 pub struct StandLedger {
     /// How often each key ran.
     pub keys: BTreeMap<String, u64>,
     /// The sendings that ran, by the mark that the sender put on each.
     pub marks: BTreeSet<String>,
+    /// When each sending with a mark began to run.
+    pub started: Vec<(Instant, String)>,
 }
 
 pub struct StandTarget {
@@ -88,6 +102,7 @@
     pub cancelled: AtomicU64,
     waiting: AtomicU32,
     slots: Semaphore,
+    group: Arc<GroupGauge>,
 }
 
 /// Ends the accept loop of a stand-in when dropped.
@@ -110,6 +125,7 @@
 impl Drop for RunningGuard<'_> {
     fn drop(&mut self) {
         self.target.running.fetch_sub(1, Ordering::SeqCst);
+        self.target.group.running.fetch_sub(1, Ordering::SeqCst);
         if !self.done {
             self.target.cancelled.fetch_add(1, Ordering::SeqCst);
         }
@@ -118,9 +134,18 @@
 
 impl StandServer {
     pub async fn start(address: SocketAddr, plan: StandPlan) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        Self::start_in(address, plan, Arc::default()).await
+    }
+
+    /// Starts a target that counts what it runs with others.
+    pub async fn start_in(
+        address: SocketAddr,
+        plan: StandPlan,
+        group: Arc<GroupGauge>,
+    ) -> io::Result<Self> {
+        let server = EndpointServer::bind(address).await?;
         let target = Arc::new(StandTarget {
-            address: listener.local_addr()?,
+            address: server.address(),
             faults: Mutex::default(),
             ledger: Mutex::default(),
             running: AtomicU32::new(0),
@@ -130,6 +155,7 @@
             cancelled: AtomicU64::new(0),
             waiting: AtomicU32::new(0),
             slots: Semaphore::new(plan.slots),
+            group,
             plan,
         });
         let serving = Arc::clone(&target);
@@ -137,10 +163,7 @@
             let target = Arc::clone(&serving);
             async move { target.answer(request).await }
         });
-        let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?);
-        let task = tokio::spawn(async move {
-            let _ = server.run(route).await;
-        });
+        let task = tokio::spawn(server.serve(route, std::future::pending(), Duration::ZERO));
         Ok(Self { target, task })
     }
 }
@@ -214,13 +237,17 @@
         self.waiting.fetch_sub(1, Ordering::SeqCst);
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         self.peak.fetch_max(running, Ordering::SeqCst);
+        let together = self.group.running.fetch_add(1, Ordering::SeqCst) + 1;
+        self.group.peak.fetch_max(together, Ordering::SeqCst);
         let mut guard = RunningGuard { target: self, done: false };
         self.ran.fetch_add(1, Ordering::SeqCst);
         if let Some(key) = key {
             *self.ledger.lock().unwrap().keys.entry(key).or_default() += 1;
         }
         if let Some(mark) = mark {
-            self.ledger.lock().unwrap().marks.insert(mark);
+            let mut ledger = self.ledger.lock().unwrap();
+            ledger.started.push((Instant::now(), mark.clone()));
+            ledger.marks.insert(mark);
         }
         let mut hasher = Sha256::new();
         let mut stream = request.into_body().into_bytes_stream();
@@ -292,18 +319,15 @@
 
 impl StandList {
     pub async fn start(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+        let server = EndpointServer::bind(address).await?;
+        let address = server.address();
         let lines: Arc<Mutex<Vec<InstanceLine>>> = Arc::default();
         let shown = Arc::clone(&lines);
         let route = endpoint::make_sync(move |_| {
             let lines = shown.lock().unwrap().clone();
             Response::builder().body(serde_json::to_vec(&lines).unwrap())
         });
-        let server = Server::new_with_acceptor(TcpAcceptor::from_tokio(listener)?);
-        let task = tokio::spawn(async move {
-            let _ = server.run(route).await;
-        });
+        let task = tokio::spawn(server.serve(route, std::future::pending(), Duration::ZERO));
         Ok(Self { address, lines, task })
     }
 }
