--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -355,6 +355,12 @@
         self.proxies[&(from, to)][1].peak_bytes_per_second()
     }
 
+    /// The bytes that one daemon has sent to all others' peer addresses.
+    pub fn peer_bytes(&self, from: usize) -> u64 {
+        let own = self.proxies.iter().filter(|((dialing, _), _)| *dialing == from);
+        own.map(|(_, pair)| pair[0].total_bytes()).sum()
+    }
+
     /// Cuts what one daemon dials at another, or mends it.
     pub fn cut(&self, from: usize, to: usize, cut: bool) {
         for proxy in &self.proxies[&(from, to)] {
@@ -374,6 +380,7 @@
     pub fn objects(&self) -> Vec<DeclaredObject> {
         let mut all: Vec<DeclaredObject> = Vec::new();
         let mut regions: Vec<&str> = self.plan.domains.iter().map(|d| d.region).collect();
+        regions.sort_unstable();
         regions.dedup();
         for region in &regions {
             all.push(DeclaredObject::Region(RegionObject { name: (*region).into() }));
--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -92,6 +92,11 @@
         peak
     }
 
+    /// The bytes that came in from the dialing side.
+    pub fn total_bytes(&self) -> u64 {
+        self.sent.lock().unwrap().iter().map(|(_, bytes)| *bytes as u64).sum()
+    }
+
     /// Delays both ways.
     pub fn delay(&self, delay: Duration) {
         let way = WayFaults { delay, ..WayFaults::default() };
