Heed the millisecond in an entry's refusal

Cause: an entry that was refused by another failure domain left it alone for a whole second, since the Retry-After header counts seconds; at 95% load the neighbour was free again after some 100 ms.

Excluded: tuning the lower bound of the pause (50 ms) first; it was never reached.

Change: the pause is read from the refusal's body, to the millisecond.

--- a/crates/node/src/carriage/attempt.rs
+++ b/crates/node/src/carriage/attempt.rs
@@ -14,7 +14,8 @@
     hemlockspool_model::{
         api::{
             CALLER_HEADER, DEADLINE_HEADER, ENTRY_HEADER, FORWARDED_HEADER, KEY_HEADER,
-            OUTCOME_HEADER, PEER_TOKEN_HEADER, RunOutcome, TARGET_HEADER, VERSION_HEADER,
+            OUTCOME_HEADER, PEER_TOKEN_HEADER, RefusalBody, RunOutcome, TARGET_HEADER,
+            VERSION_HEADER,
         },
         names::RegionName,
     },
@@ -27,6 +28,11 @@
 /// The largest answer that is held whole before it is passed on, in bytes.
 const HELD_ANSWER_BYTES_MAX: u64 = 64 << 10;
 
+/// The largest refusal that is read, in bytes.
+const REFUSAL_BYTES_MAX: u64 = 1_024;
+/// How long the body of a refusal is waited for.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Headers that belong to one connection, or that each side sets for itself.
 const OWN_HEADERS: &[HeaderName] = &[
     header::CONNECTION,
@@ -86,7 +92,7 @@
     let took = sent.elapsed();
     match outcome_of(&response) {
         Some(RunOutcome::NotRun) => {
-            let retry_after = retry_after(response.headers());
+            let retry_after = retry_after(response).await;
             return AttemptOutcome::Ended(AttemptResult::NotRun { retry_after });
         }
         Some(RunOutcome::Unknown) => return AttemptOutcome::Ended(AttemptResult::Broken),
@@ -188,9 +194,16 @@
     all.into_iter().find(|outcome| outcome.as_str() == text)
 }
 
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(seconds))
+/// Returns when to come back: to the millisecond from the body of an entry's refusal, or in seconds
+/// from the header.
+async fn retry_after(response: Response) -> Option<Duration> {
+    let header = response.headers().get(header::RETRY_AFTER);
+    let seconds = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    let small = response.content_length().is_some_and(|size| size <= REFUSAL_BYTES_MAX);
+    if small && let Ok(Ok(body)) = timeout(REFUSAL_TIMEOUT, response.json::<RefusalBody>()).await {
+        return Some(Duration::from_millis(body.retry_after_ms));
+    }
+    seconds.map(Duration::from_secs)
 }
 
 /// Tells whether an answer cut short could be told from a whole one: it announces its size, or
