--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -7,10 +7,15 @@
     reqwest::{Client, RequestBuilder},
     serde::de::DeserializeOwned,
     std::time::Duration,
+    tokio::time::sleep,
 };
 
 /// How long one entry is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// How often all entries are asked: one that has just started may have nothing in force yet.
+const GET_ROUNDS: usize = 4;
+/// The pause between two rounds.
+const GET_PAUSE: Duration = Duration::from_millis(400);
 /// How long a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -46,10 +51,15 @@
         T: DeserializeOwned,
     {
         let mut last = None;
-        for server in &self.options.servers {
-            match self.get_from(server, path).await {
-                Ok(body) => return Ok(body),
-                Err(error) => last = Some(error),
+        for round in 0..GET_ROUNDS {
+            if round > 0 {
+                sleep(GET_PAUSE).await;
+            }
+            for server in &self.options.servers {
+                match self.get_from(server, path).await {
+                    Ok(body) => return Ok(body),
+                    Err(error) => last = Some(error),
+                }
             }
         }
         Err(CommandError::Unanswered { last })
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -26,6 +26,6 @@
     members::MemberRefusal,
     types::{
         ConsensusMessage, GroupId, HardState, LogEntry, LogPayload, LogPosition, MemberSet,
-        PersistBatch, ReplicaId, ReplicaMember, SnapshotImage, SnapshotMeta,
+        PersistBatch, ReplicaId, ReplicaMember, SnapshotImage, SnapshotMeta, TRAILING_ENTRIES,
     },
 };
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -9,7 +9,7 @@
             group::ConsensusGroup,
             types::{
                 ConsensusMessage, PersistBatch, ReplicaId, SNAPSHOT_CHUNK_BYTES, SNAPSHOT_EVERY,
-                SnapshotImage, SnapshotMeta, TRAILING_ENTRIES,
+                SnapshotImage, SnapshotMeta,
             },
         },
         notes::NodeNote,
@@ -38,15 +38,16 @@
         self.taken >= self.image.meta.last.index + SNAPSHOT_EVERY.max(by_size)
     }
 
-    /// Takes a snapshot at the last entry that was handed out, from the encoded ledger.
-    pub fn take_snapshot(&mut self, bytes: Vec<u8>) -> Vec<super::ConsensusEffect> {
+    /// Takes a snapshot at the last entry that was handed out, from the encoded ledger, and keeps up
+    /// to a number of entries behind it for replicas that are a little late.
+    pub fn take_snapshot(&mut self, bytes: Vec<u8>, trailing: u64) -> Vec<super::ConsensusEffect> {
         let Some(term) = self.log.term_at(self.taken) else {
             return Vec::new();
         };
         let last = super::LogPosition { term, index: self.taken };
         let members = self.members_at(self.taken);
         self.image = SnapshotImage { meta: SnapshotMeta { last, members }, bytes };
-        self.log.compact_to(self.taken.saturating_sub(TRAILING_ENTRIES).max(self.log.base().index));
+        self.log.compact_to(self.taken.saturating_sub(trailing).max(self.log.base().index));
         self.forget_old_members();
         self.persist_reset();
         self.note(NodeNote::SnapshotTaken { index: last.index, bytes: self.image.bytes.len() });
--- a/crates/core/src/ledger/publication.rs
+++ b/crates/core/src/ledger/publication.rs
@@ -117,13 +117,7 @@
 
     fn keep_step(&mut self, step: VersionStep) {
         self.steps.push_back(step);
-        let size = |step: &VersionStep| step.delta.upserts.len() + step.delta.removals.len();
-        let mut objects: usize = self.steps.iter().map(size).sum();
-        while self.steps.len() > STEPS_KEPT
-            || (objects > STEP_OBJECTS_KEPT && !self.steps.is_empty())
-        {
-            objects -= self.steps.pop_front().as_ref().map_or(0, size);
-        }
+        trim_steps(&mut self.steps, STEPS_KEPT, STEP_OBJECTS_KEPT);
     }
 
     fn keep_answer(&mut self, request: RequestTag, answer: PublishAnswer) {
@@ -137,6 +131,14 @@
     }
 }
 
+/// Drops the oldest steps beyond a number of steps or of objects in them.
+pub(crate) fn trim_steps(steps: &mut VecDeque<VersionStep>, most: usize, objects_most: usize) {
+    let mut objects: usize = steps.iter().map(|step| step.delta.len()).sum();
+    while steps.len() > most || (objects > objects_most && !steps.is_empty()) {
+        objects -= steps.pop_front().map_or(0, |step| step.delta.len());
+    }
+}
+
 impl From<StoredBook> for PublicationBook {
     fn from(book: StoredBook) -> Self {
         let StoredBook { version, set, steps, answers, answer_order } = book;
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -7,7 +7,7 @@
         clock::{ClockReading, Moment},
         consensus::{
             ConsensusEffect, ConsensusGroup, ConsensusMessage, GroupId, LogEntry, LogPayload,
-            LogPosition, MemberRefusal, ReplicaId, ReplicaMember, RestoredLog,
+            LogPosition, MemberRefusal, ReplicaId, ReplicaMember, RestoredLog, TRAILING_ENTRIES,
         },
         effect::{DiskEffect, NodeEffect},
         ledger::{LedgerCommand, LedgerError, LedgerState},
@@ -54,6 +54,8 @@
     askers: BTreeMap<InstanceName, JoinAsker>,
     /// The index of the last publication applied.
     published_at: u64,
+    /// Whether a command was applied that is worth a snapshot by itself.
+    large_applied: bool,
     join_due: Moment,
 }
 
@@ -79,6 +81,7 @@
             origins: BTreeMap::new(),
             askers: BTreeMap::new(),
             published_at: 0,
+            large_applied: false,
             join_due: now,
         };
         for entry in replica.group.take_committed() {
@@ -253,8 +256,11 @@
             let marks = self.group.mark_commit();
             self.translate(marks, &mut out);
         }
-        if self.group.wants_snapshot() {
-            let snapshot = self.group.take_snapshot(self.ledger.encode());
+        let large = std::mem::take(&mut self.large_applied);
+        if large || self.group.wants_snapshot() {
+            // Entries as large as a whole set must not stay in memory.
+            let trailing = if large { 0 } else { TRAILING_ENTRIES };
+            let snapshot = self.group.take_snapshot(self.ledger.encode(), trailing);
             self.translate(snapshot, &mut out);
         }
         out
@@ -284,6 +290,7 @@
             }
             LogPayload::Command { at_ms, command } => {
                 let before = self.ledger.version();
+                self.large_applied |= is_large(&command);
                 let outcome = self.ledger.apply(at_ms, command);
                 if self.ledger.version() > before {
                     self.published_at = index;
@@ -297,6 +304,14 @@
     }
 }
 
+/// Objects in a publication from which on it is worth a snapshot by itself.
+const LARGE_OBJECTS: usize = 10_000;
+
+fn is_large(command: &LedgerCommand) -> bool {
+    let LedgerCommand::Publish(publish) = command else { return false };
+    publish.delta.as_ref().is_some_and(|delta| delta.len() >= LARGE_OBJECTS)
+}
+
 /// Faults carried in one answer.
 const FAULTS_MAX: usize = 200;
 
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -15,7 +15,7 @@
     crate::{
         clock::Moment,
         effect::NodeEffect,
-        ledger::VersionStep,
+        ledger::{VersionStep, publication::trim_steps},
         notes::NodeNote,
         wire::{ConfirmNotice, EntryReport, PeerMessage, PeerSender},
     },
@@ -48,6 +48,8 @@
 const ABSENT_AFTER: Duration = Duration::from_millis(1_500);
 /// Steps kept for pollers that are a little behind.
 const STEPS_KEPT: usize = 64;
+/// Objects within kept steps, at most.
+const STEP_OBJECTS_KEPT: usize = 2_000;
 
 #[derive(Clone, Debug)]
 struct PollerView {
@@ -350,9 +352,7 @@
         self.version = version;
         self.confirmed = confirmed;
         self.steps.extend(steps);
-        while self.steps.len() > STEPS_KEPT {
-            self.steps.pop_front();
-        }
+        trim_steps(&mut self.steps, STEPS_KEPT, STEP_OBJECTS_KEPT);
         let mut effects = self.push(now);
         if self.in_force {
             effects.push(NodeEffect::Note(NodeNote::InForce { version }));
--- a/crates/model/src/delta.rs
+++ b/crates/model/src/delta.rs
@@ -14,6 +14,9 @@
     std::collections::BTreeMap,
 };
 
+/// The number of objects put in from which on it is worth sharing the names that they repeat.
+const SHARED_FROM: usize = 1_000;
+
 /// The objects to put in and to take out.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SetDelta {
@@ -46,6 +49,14 @@
         for object in &self.upserts {
             set.upsert(object.clone());
         }
+        if self.upserts.len() > SHARED_FROM {
+            set.share_names();
+        }
+    }
+
+    /// Returns how many objects the delta touches.
+    pub fn len(&self) -> usize {
+        self.upserts.len() + self.removals.len()
     }
 
     /// Tells whether the delta changes nothing.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod names;
 pub mod objects;
 pub mod set;
+mod shared_blocks;
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -2,12 +2,13 @@
 One name type for each kind of object.
 
 Distinct types keep a region's name from being passed where a domain's is wanted; all of them are
-plain text on the wire.
+plain text on the wire. Copies of a name share its text: a set may hold some hundred thousand caller
+blocks that name a few thousand callers.
 */
 
 use {
     serde::{Deserialize, Serialize},
-    std::fmt,
+    std::{fmt, sync::Arc},
 };
 
 macro_rules! name_type {
@@ -16,12 +17,12 @@
         #[derive(
             Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
         )]
-        pub struct $type(String);
+        pub struct $type(Arc<str>);
 
         impl $type {
             /// Makes a name from its text.
             pub fn new(text: &str) -> Self {
-                Self(text.to_owned())
+                Self(Arc::from(text))
             }
 
             /// Returns the text of the name.
--- a/crates/model/src/set.rs
+++ b/crates/model/src/set.rs
@@ -16,6 +16,7 @@
             LimitObject, LimitResource, LinkObject, ObjectKey, RegionObject, ServiceObject,
             TargetObject,
         },
+        shared_blocks::{NamePool, SharedBlocks},
     },
     ipnet::IpNet,
     serde::{Deserialize, Serialize},
@@ -24,6 +25,7 @@
 
 /// All declared objects, by type and name.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "StoredSet")]
 pub struct ObjectSet {
     /// Regions by name.
     pub regions: BTreeMap<RegionName, RegionObject>,
@@ -45,7 +47,37 @@
     pub blocks: BTreeMap<IpNet, BlockObject>,
 }
 
+/// The encoded form of an [`ObjectSet`], in which no names are shared.
+#[derive(Deserialize)]
+struct StoredSet {
+    regions: BTreeMap<RegionName, RegionObject>,
+    domains: BTreeMap<DomainName, DomainObject>,
+    links: BTreeMap<LinkName, LinkObject>,
+    services: BTreeMap<ServiceName, ServiceObject>,
+    targets: BTreeMap<TargetName, TargetObject>,
+    entries: BTreeMap<InstanceName, EntryObject>,
+    limits: BTreeMap<LimitName, LimitObject>,
+    drains: BTreeMap<DrainName, DrainObject>,
+    blocks: SharedBlocks,
+}
+
+impl From<StoredSet> for ObjectSet {
+    fn from(stored: StoredSet) -> Self {
+        let StoredSet { regions, domains, links, services, targets, .. } = stored;
+        let StoredSet { entries, limits, drains, blocks: SharedBlocks(blocks), .. } = stored;
+        Self { regions, domains, links, services, targets, entries, limits, drains, blocks }
+    }
+}
+
 impl ObjectSet {
+    /// Lets the caller blocks share the text of the names that they repeat.
+    pub fn share_names(&mut self) {
+        let mut pool = NamePool::default();
+        for block in self.blocks.values_mut() {
+            pool.share(block);
+        }
+    }
+
     /// Puts an object in, and returns the one of the same identity that it replaces.
     pub fn upsert(&mut self, object: DeclaredObject) -> Option<DeclaredObject> {
         use DeclaredObject as D;
--- /dev/null
+++ b/crates/model/tests/sets.rs
@@ -0,0 +1,91 @@
+//! Sets, deltas and look-ups of blocks, over seeded sets.
+
+use {
+    hemlockspool_model::{
+        check,
+        delta::SetDelta,
+        objects::{BlockObject, DeclaredObject, DomainObject, RegionObject},
+        set::ObjectSet,
+    },
+    quickcheck::{Arbitrary, Gen},
+    std::net::{IpAddr, Ipv4Addr},
+};
+
+const SEEDS: std::ops::Range<u64> = 0..200;
+
+fn random_set(generator: &mut Gen) -> ObjectSet {
+    let mut set = ObjectSet::default();
+    let count = usize::arbitrary(generator) % 40;
+    for _ in 0..count {
+        let name = format!("n{}", u8::arbitrary(generator) % 20);
+        let name = name.as_str();
+        set.upsert(match u8::arbitrary(generator) % 3 {
+            0 => DeclaredObject::Region(RegionObject { name: name.into() }),
+            1 => {
+                let region = format!("n{}", u8::arbitrary(generator) % 20).as_str().into();
+                DeclaredObject::FailureDomain(DomainObject { name: name.into(), region })
+            }
+            _ => {
+                let [a, b] = [u8::arbitrary(generator), u8::arbitrary(generator)];
+                let length = 9 + u8::arbitrary(generator) % 24;
+                let prefix = format!("10.{a}.{b}.0/{length}").parse().unwrap();
+                let (domain, caller) = (name.into(), "c".into());
+                DeclaredObject::CallerBlock(BlockObject { prefix, domain, caller })
+            }
+        });
+    }
+    set
+}
+
+#[test]
+fn delta_leads_from_one_set_to_another() {
+    for seed in SEEDS {
+        let mut generator = Gen::from_size_and_seed(60, seed);
+        let (from, to) = (random_set(&mut generator), random_set(&mut generator));
+        let delta = SetDelta::between(&from, &to);
+        let mut reached = from.clone();
+        delta.apply(&mut reached);
+        assert_eq!(reached, to, "seed {seed}");
+        assert!(SetDelta::between(&to, &to).is_empty());
+        let bytes = postcard::to_allocvec(&to).unwrap();
+        assert_eq!(postcard::from_bytes::<ObjectSet>(&bytes).unwrap(), to);
+    }
+}
+
+#[test]
+fn block_lookup_equals_search() {
+    for seed in SEEDS {
+        let mut generator = Gen::from_size_and_seed(60, seed);
+        let mut set = random_set(&mut generator);
+        // Without overlaps, as the check demands.
+        let mut kept: Vec<ipnet::IpNet> = Vec::new();
+        for prefix in set.blocks.keys() {
+            if !kept.iter().any(|one| one.contains(prefix) || prefix.contains(one)) {
+                kept.push(*prefix);
+            }
+        }
+        set.blocks.retain(|prefix, _| kept.contains(prefix));
+        for _ in 0..200 {
+            let [b, c, d] = [0; 3].map(|_: u8| u8::arbitrary(&mut generator));
+            let address = IpAddr::V4(Ipv4Addr::new(10, b, c, d));
+            let searched = set.blocks.values().find(|block| block.prefix.contains(&address));
+            assert_eq!(set.block_of(address), searched, "seed {seed}: {address}");
+        }
+    }
+}
+
+#[test]
+fn check_finds_overlaps() {
+    for seed in SEEDS {
+        let mut generator = Gen::from_size_and_seed(60, seed);
+        let set = random_set(&mut generator);
+        let prefixes: Vec<&ipnet::IpNet> = set.blocks.keys().collect();
+        let overlap = (0..prefixes.len()).any(|one| {
+            (one + 1..prefixes.len()).any(|other| prefixes[one].contains(prefixes[other]))
+        });
+        let found = check::faults(&set)
+            .iter()
+            .any(|fault| matches!(fault, check::CheckFault::Overlap { .. }));
+        assert_eq!(found, overlap, "seed {seed}");
+    }
+}
