--- a/crates/core/src/ledger/claims.rs
+++ b/crates/core/src/ledger/claims.rs
@@ -28,7 +28,7 @@
 }
 
 /// One entry's one attempt to run a request.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ClaimToken {
     /// The entry.
     pub entry: InstanceName,
@@ -79,9 +79,10 @@
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 enum ClaimStage {
+    /// Nobody holds the key.
+    Free,
     Held,
     Settled(SettledAnswer),
-    Released,
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -90,6 +91,8 @@
     digest: [u8; 32],
     stage: ClaimStage,
     expires_ms: u64,
+    /// Tokens that were given up, each with the time until which its claim may still come.
+    released: BTreeMap<ClaimToken, u64>,
 }
 
 /// All claims that are kept.
@@ -116,13 +119,15 @@
 
     pub(crate) fn claim(&mut self, now_ms: u64, command: ClaimCommand) -> ClaimAnswer {
         self.expire(now_ms);
+        let mut released = BTreeMap::new();
         if let Some(record) = self.records.get(&command.key) {
-            let same = record.token == command.token;
+            if record.released.contains_key(&command.token) {
+                return ClaimAnswer::Open;
+            }
             match &record.stage {
-                ClaimStage::Released if same => return ClaimAnswer::Open,
-                ClaimStage::Released => {}
+                ClaimStage::Free => released.clone_from(&record.released),
                 _ if record.digest != command.digest => return ClaimAnswer::KeyReused,
-                ClaimStage::Held if same => return ClaimAnswer::Granted,
+                ClaimStage::Held if record.token == command.token => return ClaimAnswer::Granted,
                 ClaimStage::Held => return ClaimAnswer::Open,
                 ClaimStage::Settled(answer) => return ClaimAnswer::Settled(answer.clone()),
             }
@@ -131,7 +136,8 @@
         }
         let expires_ms = now_ms.saturating_add(command.retention_ms);
         let ClaimCommand { key, token, digest, .. } = command;
-        self.insert(key, ClaimRecord { token, digest, stage: ClaimStage::Held, expires_ms });
+        let stage = ClaimStage::Held;
+        self.insert(key, ClaimRecord { token, digest, stage, expires_ms, released });
         ClaimAnswer::Granted
     }
 
@@ -145,23 +151,26 @@
     }
 
     pub(crate) fn release(&mut self, now_ms: u64, key: &ClaimKey, token: &ClaimToken) {
-        let expires_ms = now_ms.saturating_add(RELEASE_MARK_MS);
-        match self.records.get(key) {
-            Some(record) if record.token != *token => {}
-            Some(record) if matches!(record.stage, ClaimStage::Settled(_)) => {}
-            Some(record) => {
-                let digest = record.digest;
-                let stage = ClaimStage::Released;
-                let token = token.clone();
-                self.insert(key.clone(), ClaimRecord { token, digest, stage, expires_ms });
-            }
-            None => {
-                let stage = ClaimStage::Released;
-                let token = token.clone();
-                let record = ClaimRecord { token, digest: [0; 32], stage, expires_ms };
-                self.insert(key.clone(), record);
-            }
+        let stands_until = now_ms.saturating_add(RELEASE_MARK_MS);
+        let fresh = || ClaimRecord {
+            token: token.clone(),
+            digest: [0; 32],
+            stage: ClaimStage::Free,
+            expires_ms: stands_until,
+            released: BTreeMap::new(),
+        };
+        let mut record = self.records.get(key).cloned().unwrap_or_else(fresh);
+        let own = record.token == *token;
+        if own && matches!(record.stage, ClaimStage::Settled(_)) {
+            return;
+        }
+        if own {
+            record.stage = ClaimStage::Free;
         }
+        record.released.retain(|_, until| *until > now_ms);
+        record.released.insert(token.clone(), stands_until);
+        record.expires_ms = record.expires_ms.max(stands_until);
+        self.insert(key.clone(), record);
     }
 
     fn insert(&mut self, key: ClaimKey, record: ClaimRecord) {
--- a/crates/core/src/requests/queue.rs
+++ b/crates/core/src/requests/queue.rs
@@ -61,10 +61,11 @@
         self.len += 1;
     }
 
-    /// Puts a request back at the head of its caller's line.
+    /// Puts a request that was just taken out back, as if it hadn't been.
     pub fn push_front(&mut self, kind: &KindName, caller: &CallerName, id: RequestId) {
         let line = self.kinds.entry(kind.clone()).or_default();
         line.weight = line.weight.max(1);
+        line.served -= 1.0 / f64::from(line.weight);
         line.callers.push_front((caller.clone(), VecDeque::from([id])));
         self.len += 1;
     }
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -17,6 +17,7 @@
         effect::NodeEffect,
         ledger::{VersionStep, publication::trim_steps},
         notes::NodeNote,
+        util::stable_hash,
         wire::{ConfirmNotice, EntryReport, PeerMessage, PeerSender},
     },
     hemlockspool_model::{
@@ -46,6 +47,8 @@
 /// After how long without a report that counts an entry is absent. One that was declared just now,
 /// or a leader that was elected just now, has that long to be heard or to hear.
 const ABSENT_AFTER: Duration = Duration::from_millis(1_500);
+/// Starting places among the replicas; any number well above theirs will do.
+const TURNS: usize = 1 << 16;
 /// Steps kept for pollers that are a little behind.
 const STEPS_KEPT: usize = 64;
 /// Objects within kept steps, at most.
@@ -104,6 +107,8 @@
 impl ConfigCopy {
     /// Makes the copy of an instance that just started: nothing, and not in force.
     pub fn new(me: InstanceName, now: Moment) -> Self {
+        // Relays start with different replicas, so that none of these gets all polls.
+        let turn = stable_hash(me.as_str().as_bytes()) as usize % TURNS;
         Self {
             me,
             version: ConfigVersion::default(),
@@ -120,7 +125,7 @@
             poll_due: now,
             answered: now,
             asked_relay: false,
-            turn: 0,
+            turn,
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,173 @@
+//! The ledger: claims, tallies, resends and the trail, in any order and over snapshots.
+
+use {
+    hemlockspool_core::ledger::{
+        ClaimAnswer, ClaimCommand, ClaimKey, ClaimToken, LedgerCommand, LedgerOutcome, LedgerState,
+        PublishCommand, SettledAnswer, TallyCount, TallyKey, TallyReport, TallySource,
+        claims::CLAIMS_MAX,
+    },
+    hemlockspool_model::{
+        api::PublishAnswer,
+        delta::SetDelta,
+        names::{ConfigVersion, RequestTag},
+        objects::{DeclaredObject, RegionObject},
+    },
+    quickcheck::{Arbitrary, Gen},
+};
+
+const SEEDS: std::ops::Range<u64> = 0..300;
+
+fn key(text: &str) -> ClaimKey {
+    ClaimKey { service: "s".into(), key: text.to_owned() }
+}
+
+fn token(request: u64) -> ClaimToken {
+    ClaimToken { entry: "e".into(), incarnation: 1, request }
+}
+
+fn claim(text: &str, request: u64, digest: u8) -> LedgerCommand {
+    let (key, token) = (key(text), token(request));
+    LedgerCommand::Claim(ClaimCommand { key, token, digest: [digest; 32], retention_ms: 1_000 })
+}
+
+fn settle(text: &str, request: u64) -> LedgerCommand {
+    let answer = SettledAnswer { status: 200, content_type: None, body: Some(vec![request as u8]) };
+    LedgerCommand::Settle { key: key(text), token: token(request), answer }
+}
+
+fn release(text: &str, request: u64) -> LedgerCommand {
+    LedgerCommand::Release { key: key(text), token: token(request) }
+}
+
+fn claimed(outcome: LedgerOutcome) -> ClaimAnswer {
+    match outcome {
+        LedgerOutcome::Claimed(answer) => answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn claims_release_before_claim() {
+    let mut ledger = LedgerState::default();
+    ledger.apply(1, release("k", 1));
+    assert_ne!(claimed(ledger.apply(2, claim("k", 1, 7))), ClaimAnswer::Granted);
+    assert_eq!(claimed(ledger.apply(3, claim("k", 2, 7))), ClaimAnswer::Granted);
+    assert_ne!(claimed(ledger.apply(4, claim("k", 1, 7))), ClaimAnswer::Granted);
+    assert_eq!(claimed(ledger.apply(5, claim("k", 3, 8))), ClaimAnswer::KeyReused);
+}
+
+#[test]
+fn claims_kept_for_their_time() {
+    let mut ledger = LedgerState::default();
+    assert_eq!(claimed(ledger.apply(1_000, claim("k", 1, 7))), ClaimAnswer::Granted);
+    ledger.apply(1_001, settle("k", 1));
+    let again = claimed(ledger.apply(1_999, claim("k", 2, 7)));
+    assert!(matches!(again, ClaimAnswer::Settled(_)));
+    // A leader whose calendar is behind doesn't take time back.
+    let again = claimed(ledger.apply(5, claim("k", 3, 7)));
+    assert!(matches!(again, ClaimAnswer::Settled(_)));
+    assert_eq!(claimed(ledger.apply(2_000, claim("k", 4, 7))), ClaimAnswer::Granted);
+}
+
+#[test]
+fn claims_full_refused() {
+    let mut ledger = LedgerState::default();
+    for number in 0..CLAIMS_MAX {
+        ledger.apply(1, claim(&format!("k{number}"), number as u64, 7));
+    }
+    assert_eq!(claimed(ledger.apply(1, claim("one more", 0, 7))), ClaimAnswer::Full);
+    assert_eq!(claimed(ledger.apply(1, claim("k0", 0, 7))), ClaimAnswer::Granted);
+}
+
+/// Two entries try for one key, with every command sent twice and in any order.
+#[test]
+fn claims_any_order() {
+    for seed in SEEDS {
+        let mut generator = Gen::from_size_and_seed(50, seed);
+        let mut commands = Vec::new();
+        for request in 1..=4 {
+            let ending = if bool::arbitrary(&mut generator) {
+                settle("k", request)
+            } else {
+                release("k", request)
+            };
+            commands.extend([
+                claim("k", request, 7),
+                claim("k", request, 7),
+                ending.clone(),
+                ending,
+            ]);
+        }
+        let mut ledger = LedgerState::default();
+        let mut released = Vec::new();
+        let mut holder: Option<u64> = None;
+        let mut settled = false;
+        while !commands.is_empty() {
+            let place = usize::arbitrary(&mut generator) % commands.len();
+            let command = commands.swap_remove(place);
+            let outcome = ledger.apply(1, command.clone());
+            match command {
+                LedgerCommand::Claim(asked) => {
+                    let request = asked.token.request;
+                    if claimed(outcome) == ClaimAnswer::Granted {
+                        assert!(!settled, "seed {seed}: granted after an answer was recorded");
+                        assert!(!released.contains(&request), "seed {seed}: granted after release");
+                        assert!(
+                            holder.is_none_or(|one| one == request),
+                            "seed {seed}: two holders"
+                        );
+                        holder = Some(request);
+                    }
+                }
+                LedgerCommand::Release { token, .. } => {
+                    released.push(token.request);
+                    holder = holder.filter(|one| *one != token.request || settled);
+                }
+                LedgerCommand::Settle { token, .. } => settled |= holder == Some(token.request),
+                _ => {}
+            }
+            let bytes = ledger.encode();
+            assert_eq!(LedgerState::decode(&bytes).unwrap(), ledger, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn tallies_counted_once() {
+    let report = |incarnation, requests| {
+        let key = TallyKey { month: 202_612, service: "s".into(), kind: "k".into() };
+        let count = TallyCount { requests, weighted: requests * 5 };
+        let source = TallySource { incarnation, entry: "e".into() };
+        LedgerCommand::Tally(TallyReport { source, totals: vec![(key, count)] })
+    };
+    let mut ledger = LedgerState::default();
+    // Doubled, late and from an earlier life; each life's highest total counts.
+    for (incarnation, requests) in [(1, 10), (1, 10), (2, 4), (1, 25), (1, 10), (2, 4), (3, 1)] {
+        ledger.apply(1, report(incarnation, requests));
+    }
+    let lines = ledger.tallies().lines(Some(202_612));
+    assert_eq!((lines[0].requests, lines[0].weighted), (30, 150));
+}
+
+#[test]
+fn publication_resend_over_snapshot() {
+    let publish = |tag: &str, base, region: &str| {
+        let object = DeclaredObject::Region(RegionObject { name: region.into() });
+        LedgerCommand::Publish(PublishCommand {
+            request: RequestTag::new(tag),
+            operator: Some("o".into()),
+            base: ConfigVersion(base),
+            delta: Some(SetDelta { upserts: vec![object], removals: Vec::new() }),
+            faults: Vec::new(),
+        })
+    };
+    let mut ledger = LedgerState::default();
+    let first = ledger.apply(1, publish("a", 0, "r1"));
+    let loser = ledger.apply(1, publish("b", 0, "r2"));
+    assert!(matches!(loser, LedgerOutcome::Published(PublishAnswer::Conflict { .. })));
+    let mut restored = LedgerState::decode(&ledger.encode()).unwrap();
+    assert_eq!(restored.apply(2, publish("a", 0, "r1")), first);
+    assert_eq!(restored.apply(2, publish("b", 0, "r2")), loser);
+    assert_eq!(restored.version(), ConfigVersion(1));
+    assert_eq!(restored.audit().last_sequence(), 2, "a resend is no second change");
+}
--- a/crates/testkit/tests/at_most_once.rs
+++ b/crates/testkit/tests/at_most_once.rs
@@ -180,6 +180,33 @@
     assert!(ran > 0);
 }
 
+/// A claim that the leader took in but could commit only after its entry had given it up.
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_once_claim_committed_late() {
+    let cluster = TestCluster::start(plan()).await;
+    cluster.publish_in_force("first", cluster.objects()).await;
+    let leader = cluster.leader().await;
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    for other in &others {
+        cluster.nodes[*other].kill();
+    }
+    let sent = send(&cluster, 4, "k", "k/0").await;
+    assert_eq!(sent.outcome.as_deref(), Some("not-run"), "{sent:?}");
+    for other in &others {
+        cluster.nodes[*other].start();
+    }
+    let all: Mutex<Vec<SentOnce>> = Mutex::new(vec![sent]);
+    until("the key can be used again", || async {
+        let one = send(&cluster, 3, "k", "k/1").await;
+        let ran = one.outcome.as_deref() == Some("ran");
+        all.lock().unwrap().push(one);
+        ran
+    })
+    .await;
+    let all = all.into_inner().unwrap();
+    check_ledgers(&cluster, &all);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn at_most_once_without_quorum() {
     let cluster = TestCluster::start(plan()).await;
