Publish changes and not sets; who asked for a change of the replicas is in the trail

Cause: at 190,000 blocks each publication carried 20 MB of JSON, of which the entry made two copies to find the difference. The audit trail recorded changes of the replicas without their operator, and not at all when the token was wrong.

Excluded: the log and the wire; both carried the difference only (533 bytes for 20 blocks).

Change: a publication is a whole set or a delta; the command line sends the delta against what it read. `drain` and `undrain` send one object. Replica requests go through the ledger, refused ones as well.

--- a/crates/cli/src/commands/change.rs
+++ b/crates/cli/src/commands/change.rs
@@ -7,10 +7,11 @@
     crate::{client::EntryClient, error::CommandError, folder, options::CallOptions},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     hemlockspool_model::{
-        api::{ConfigAnswer, PublishAnswer, PublishBody, StatusAnswer},
+        api::{ConfigAnswer, PublishAnswer, PublishBody, PublishChange, StatusAnswer},
         check, declaration,
+        delta::SetDelta,
         names::{ConfigVersion, DrainName, RequestTag},
-        objects::{DeclaredObject, DrainObject, DrainSubject, ObjectKey},
+        objects::{DeclaredObject, DrainObject, DrainSubject, EntryObject, ObjectKey},
         set::ObjectSet,
     },
     similar::TextDiff,
@@ -118,11 +119,17 @@
 ) -> Result<(), CommandError> {
     let set = read_checked(arguments)?;
     let client = EntryClient::new(options)?;
-    let base = match arguments.get_one::<u64>("base") {
-        Some(base) => ConfigVersion(*base),
-        None => client.get::<ConfigAnswer>("/v1/config").await?.version,
+    let current: ConfigAnswer = client.get("/v1/config").await?;
+    let given = arguments.get_one::<u64>("base").map(|base| ConfigVersion(*base));
+    let base = given.unwrap_or(current.version);
+    let change = if base == current.version {
+        let collected = declaration::collect(current.objects);
+        let in_force = collected.map_err(|_| CommandError::NoSuchObject)?;
+        PublishChange::Delta(SetDelta::between(&in_force, &set))
+    } else {
+        PublishChange::Objects(set.objects())
     };
-    send(options, &client, arguments, base, set).await
+    send(options, &client, arguments, base, change).await
 }
 
 /// Adds or removes a drain in the set that is in force.
@@ -146,11 +153,12 @@
         _ => DrainSubject::Region(subject_name.into()),
     };
     let collected = declaration::collect(current.objects);
-    let mut set = collected.map_err(|_| CommandError::NoSuchObject)?;
+    let set = collected.map_err(|_| CommandError::NoSuchObject)?;
+    let mut delta = SetDelta::default();
     match change {
         DrainChange::Add => {
             let name = DrainName::new(&format!("{kind}-{subject_name}"));
-            set.upsert(DeclaredObject::Drain(DrainObject { name, subject }));
+            delta.upserts.push(DeclaredObject::Drain(DrainObject { name, subject }));
         }
         DrainChange::Remove => {
             let matching = set.drains.values().filter(|drain| drain.subject == subject);
@@ -158,12 +166,10 @@
             if names.is_empty() {
                 return Err(CommandError::NoSuchObject);
             }
-            for name in names {
-                set.remove(&ObjectKey::Drain(name));
-            }
+            delta.removals.extend(names.into_iter().map(ObjectKey::Drain));
         }
     }
-    send(options, &client, arguments, current.version, set).await
+    send(options, &client, arguments, current.version, PublishChange::Delta(delta)).await
 }
 
 fn read_checked(arguments: &ArgMatches) -> Result<ObjectSet, CommandError> {
@@ -178,12 +184,12 @@
     client: &EntryClient<'_>,
     arguments: &ArgMatches,
     base: ConfigVersion,
-    set: ObjectSet,
+    change: PublishChange,
 ) -> Result<(), CommandError> {
     let given = arguments.get_one::<String>("request");
     let fresh = || format!("{:016x}", rand::random::<u64>());
     let request = RequestTag::new(&given.cloned().unwrap_or_else(fresh));
-    let body = PublishBody { request, base, objects: set.objects() };
+    let body = PublishBody { request, base, change };
     let version = match send_until_certain(options, client, &body).await? {
         PublishAnswer::Accepted { version } => version,
         PublishAnswer::Faulty { faults } => return Err(CommandError::Faulty { faults }),
@@ -196,7 +202,7 @@
         }
     };
     if arguments.get_flag("wait") {
-        wait_in_force(client, &set, version).await?;
+        wait_in_force(client, version).await?;
     }
     if options.json {
         print_json(&PublishAnswer::Accepted { version });
@@ -228,13 +234,16 @@
 
 async fn wait_in_force(
     client: &EntryClient<'_>,
-    set: &ObjectSet,
     version: ConfigVersion,
 ) -> Result<(), CommandError> {
     let deadline = Instant::now() + WAIT_MAX;
+    let mut entries = Vec::new();
     loop {
         let mut missing = Vec::new();
-        for entry in set.entries.values() {
+        if entries.is_empty() {
+            entries = entries_in_force(client, version).await?;
+        }
+        for entry in &entries {
             let status: Result<StatusAnswer, _> =
                 client.get_from(&entry.http.to_string(), "/v1/status").await;
             let there = status.is_ok_and(|status| status.version >= Some(version));
@@ -242,7 +251,7 @@
                 missing.push(entry.name.to_string());
             }
         }
-        if missing.is_empty() {
+        if missing.is_empty() && !entries.is_empty() {
             return Ok(());
         }
         if Instant::now() >= deadline {
@@ -252,6 +261,20 @@
     }
 }
 
+/// Returns the entries declared at a version, or none before the entry that is asked has it.
+async fn entries_in_force(
+    client: &EntryClient<'_>,
+    version: ConfigVersion,
+) -> Result<Vec<EntryObject>, CommandError> {
+    let config: ConfigAnswer = client.get("/v1/config").await?;
+    let entry = |object| match object {
+        DeclaredObject::Entry(entry) => Some(entry),
+        _ => None,
+    };
+    let entries = config.objects.into_iter().filter_map(entry);
+    Ok(if config.version >= version { entries.collect() } else { Vec::new() })
+}
+
 fn text_diff(old: &[DeclaredObject], new: &[DeclaredObject]) -> String {
     let text = |objects: &[DeclaredObject]| {
         let lines = objects.iter().map(|object| serde_json::to_string(object).unwrap_or_default());
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -13,8 +13,8 @@
         },
     },
     hemlockspool_model::{
-        api::{AuditAction, PublishAnswer},
-        names::{ConfigVersion, RequestTag},
+        api::{AuditAction, PublishAnswer, ReplicaBody},
+        names::{ConfigVersion, OperatorName, RequestTag},
         set::ObjectSet,
     },
     serde::{Deserialize, Serialize},
@@ -32,6 +32,13 @@
         /// The request's tag.
         request: RequestTag,
     },
+    /// Records that an operator changed the replicas.
+    Replicas {
+        /// Who.
+        operator: OperatorName,
+        /// What was asked for.
+        body: ReplicaBody,
+    },
     /// Claims a key.
     Claim(ClaimCommand),
     /// Records the answer of a claimed request.
@@ -145,6 +152,10 @@
                 self.record_unauthorised(now_ms, request);
                 LedgerOutcome::Recorded
             }
+            LedgerCommand::Replicas { operator, body } => {
+                self.record_replicas(now_ms, operator, &body);
+                LedgerOutcome::Recorded
+            }
             LedgerCommand::Claim(command) => {
                 LedgerOutcome::Claimed(self.claims.claim(now_ms, command))
             }
@@ -200,6 +211,17 @@
         self.audit.push(draft);
     }
 
+    fn record_replicas(&mut self, now_ms: u64, operator: OperatorName, body: &ReplicaBody) {
+        let line = match body {
+            ReplicaBody::Init => "asked for the first replica".to_owned(),
+            ReplicaBody::Add(name) => format!("asked to take in {name}"),
+            ReplicaBody::Remove(name) => format!("asked to take out {name}"),
+        };
+        let (operator, changed) = (Some(operator), vec![line]);
+        let action = AuditAction::Members;
+        self.audit.push(AuditDraft { at_ms: now_ms, operator, action, changed, ..self.draft() });
+    }
+
     fn draft(&self) -> AuditDraft {
         let version = self.version();
         AuditDraft {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -24,9 +24,9 @@
         wire::{PeerEnvelope, PeerMessage},
     },
     hemlockspool_model::{
-        api::{LookupAnswer, PublishAnswer, ReplicaAnswer},
+        api::{LookupAnswer, PublishAnswer, ReplicaAnswer, ReplicaBody},
         delta::SetDelta,
-        names::{ConfigVersion, InstanceName, OperatorName, RegionName, RequestTag, TargetName},
+        names::{ConfigVersion, OperatorName, RegionName, RequestTag, TargetName},
         set::ObjectSet,
     },
     rand_pcg::Pcg32,
@@ -39,6 +39,8 @@
 
 /// How long a publication may take before its sender is told that its fate is unknown.
 const PUBLISH_PATIENCE: Duration = Duration::from_secs(6);
+/// How long a node tries to have something recorded for the audit trail.
+const RECORD_PATIENCE: Duration = Duration::from_secs(300);
 /// The time between reports of tallies.
 const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// How long a report of tallies is tried for.
@@ -55,17 +57,27 @@
         request: RequestTag,
         /// Who asks; none when the token isn't known.
         operator: Option<OperatorName>,
-        /// The version that the set was made from.
+        /// The version that the change was made from.
         base: ConfigVersion,
-        /// The whole set.
-        set: Box<ObjectSet>,
+        /// The change.
+        change: SetChange,
     },
-    /// Makes this instance the first voter.
-    ReplicaInit,
-    /// Takes an instance in as a replica.
-    ReplicaAdd(InstanceName),
-    /// Takes a replica out.
-    ReplicaRemove(InstanceName),
+    /// Changes the replicas.
+    Replicas {
+        /// Who asks; none when the token isn't known.
+        operator: Option<OperatorName>,
+        /// What is asked for.
+        body: ReplicaBody,
+    },
+}
+
+/// A change of the set in force.
+#[derive(Clone, Debug)]
+pub enum SetChange {
+    /// This whole set in its place.
+    Whole(Box<ObjectSet>),
+    /// Some objects put in and taken out.
+    Delta(SetDelta),
 }
 
 /// Something that happens to a node.
@@ -381,45 +393,91 @@
         clock: ClockReading,
     ) -> Vec<NodeEffect> {
         match call {
-            OperatorCall::Publish { request, operator, base, set } => {
-                self.publish(ticket, request, operator, base, &set, clock.now)
+            OperatorCall::Publish { request, operator, base, change } => {
+                let Some(operator) = operator else {
+                    return self.refuse_operator(ticket, request, clock.now);
+                };
+                let delta = self.delta_of(base, change);
+                let operator = Some(operator);
+                let publish = PublishCommand { request, operator, base, delta, faults: Vec::new() };
+                let command = LedgerCommand::Publish(publish);
+                self.submit_for(ticket, command, clock.now)
             }
-            OperatorCall::ReplicaInit => {
-                let name = self.identity.name.clone();
-                let member = ReplicaMember { name, peer: self.identity.peer, voter: true };
-                self.change_replicas(ticket, |replica| replica.init(member, clock.now))
+            OperatorCall::Replicas { operator, body } => {
+                let Some(operator) = operator else {
+                    return self.refuse_replicas(ticket, clock.now);
+                };
+                self.operate_replicas(ticket, operator, body, clock.now)
             }
-            OperatorCall::ReplicaAdd(name) => self.change_replicas(ticket, |replica| {
-                replica.add(&name, clock.now).map(|()| Vec::new())
-            }),
-            OperatorCall::ReplicaRemove(name) => self.change_replicas(ticket, |replica| {
-                replica.remove(&name, clock.now).map(|()| Vec::new())
-            }),
         }
     }
 
-    fn publish(
+    /// Returns what leads from a base to the set that is wanted; none when that takes the base and
+    /// this instance hasn't got it.
+    fn delta_of(&self, base: ConfigVersion, change: SetChange) -> Option<SetDelta> {
+        match change {
+            SetChange::Delta(delta) => Some(delta),
+            SetChange::Whole(set) => {
+                let current = self.config.version() == Some(base);
+                current.then(|| SetDelta::between(self.config.set(), &set))
+            }
+        }
+    }
+
+    fn submit_for(
         &mut self,
         ticket: ReplyTicket,
-        request: RequestTag,
-        operator: Option<OperatorName>,
-        base: ConfigVersion,
-        set: &ObjectSet,
+        command: LedgerCommand,
         now: Moment,
     ) -> Vec<NodeEffect> {
-        let known = operator.is_some();
-        let current = self.config.version() == Some(base);
-        let delta = current.then(|| SetDelta::between(self.config.set(), set));
-        let publish = PublishCommand { request, operator, base, delta, faults: Vec::new() };
-        let command = if known {
-            LedgerCommand::Publish(publish)
-        } else {
-            LedgerCommand::Unauthorised { request: publish.request }
-        };
         let purpose = SubmitPurpose::Operator(ticket);
         self.submits.submit(command, purpose, PUBLISH_PATIENCE, &self.seeds, now)
     }
 
+    /// Has a request without a known token recorded; its sender waits for that.
+    fn refuse_operator(
+        &mut self,
+        ticket: ReplyTicket,
+        request: RequestTag,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        self.submit_for(ticket, LedgerCommand::Unauthorised { request }, now)
+    }
+
+    fn refuse_replicas(&mut self, ticket: ReplyTicket, now: Moment) -> Vec<NodeEffect> {
+        let command = LedgerCommand::Unauthorised { request: RequestTag::new("replicas") };
+        let mut effects = self.record(command, now);
+        let reply = OperatorReply::Replica(ReplicaAnswer::Unauthorised);
+        effects.push(NodeEffect::Reply { ticket, reply });
+        effects
+    }
+
+    fn record(&mut self, command: LedgerCommand, now: Moment) -> Vec<NodeEffect> {
+        let purpose = SubmitPurpose::Record;
+        self.submits.submit(command, purpose, RECORD_PATIENCE, &self.seeds, now)
+    }
+
+    fn operate_replicas(
+        &mut self,
+        ticket: ReplyTicket,
+        operator: OperatorName,
+        body: ReplicaBody,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        let (name, peer) = (self.identity.name.clone(), self.identity.peer);
+        let asked = body.clone();
+        let mut effects = self.change_replicas(ticket, |replica| match asked {
+            ReplicaBody::Init => replica.init(ReplicaMember { name, peer, voter: true }, now),
+            ReplicaBody::Add(name) => replica.add(&name, now).map(|()| Vec::new()),
+            ReplicaBody::Remove(name) => replica.remove(&name, now).map(|()| Vec::new()),
+        });
+        let reply = OperatorReply::Replica(ReplicaAnswer::Done);
+        if effects.contains(&NodeEffect::Reply { ticket, reply }) {
+            effects.extend(self.record(LedgerCommand::Replicas { operator, body }, now));
+        }
+        effects
+    }
+
     fn change_replicas<F>(&mut self, ticket: ReplyTicket, change: F) -> Vec<NodeEffect>
     where
         F: FnOnce(&mut ReplicaNode) -> Result<Vec<NodeEffect>, MemberRefusal>,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -6,12 +6,12 @@
         consensus::{GroupId, LogPosition, PersistBatch, ReplicaId, RestoredLog},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
         identity::NodeIdentity,
-        reducer::{NodeEvent, NodeState, OperatorCall},
+        reducer::{NodeEvent, NodeState, OperatorCall, SetChange},
         replica::ReplicaNode,
         wire::PeerEnvelope,
     },
     hemlockspool_model::{
-        api::{PublishAnswer, ReplicaAnswer},
+        api::{PublishAnswer, ReplicaAnswer, ReplicaBody},
         names::{ConfigVersion, InstanceName, RequestTag},
         objects::{DeclaredObject, RegionObject},
         set::ObjectSet,
@@ -242,8 +242,8 @@
         let ticket = ReplyTicket(self.last_ticket);
         let request = RequestTag::new(tag);
         self.tags.insert(ticket, request.clone());
-        let (operator, set) = (Some("ops".into()), Box::new(set));
-        let call = OperatorCall::Publish { request, operator, base, set };
+        let (operator, change) = (Some("ops".into()), SetChange::Whole(Box::new(set)));
+        let call = OperatorCall::Publish { request, operator, base, change };
         self.apply(index, NodeEvent::Operator { ticket, call });
     }
 
@@ -435,10 +435,14 @@
     }
 }
 
+fn replicas(body: ReplicaBody) -> OperatorCall {
+    OperatorCall::Replicas { operator: Some("ops".into()), body }
+}
+
 /// Forms a group of all nodes.
 pub fn form(net: &mut TestNet) {
     let calm = net.faults;
-    net.operate(0, OperatorCall::ReplicaInit);
+    net.operate(0, replicas(ReplicaBody::Init));
     assert!(net.calm_until(10, |net| net.leader() == Some(0)), "the first voter leads");
     let count = net.nodes.len();
     for index in 1..count {
@@ -448,7 +452,7 @@
             members.values().any(|member| member.name == name(index) && member.voter)
         };
         for _ in 0..40 {
-            net.operate(0, OperatorCall::ReplicaAdd(name(index)));
+            net.operate(0, replicas(ReplicaBody::Add(name(index))));
             if net.calm_until(1, votes) {
                 break;
             }
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         check::CheckFault,
+        delta::SetDelta,
         names::{
             ConfigVersion, DomainName, InstanceName, KindName, OperatorName, RequestTag,
             ServiceName,
@@ -132,16 +133,26 @@
     pub address: SocketAddr,
 }
 
-/// An operator's publication of a whole set.
+/// An operator's publication.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PublishBody {
     /// Chosen by the sender; a resend under it gets the first answer.
     pub request: RequestTag,
-    /// The version that the set was made from.
+    /// The version that the change was made from.
     pub base: ConfigVersion,
-    /// The whole set.
-    pub objects: Vec<DeclaredObject>,
+    /// The change.
+    pub change: PublishChange,
+}
+
+/// What an operator publishes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PublishChange {
+    /// A whole set.
+    Objects(Vec<DeclaredObject>),
+    /// What leads there from the base; its size goes with the change and not with the set.
+    Delta(SetDelta),
 }
 
 /// What became of a publication.
--- a/crates/node/src/http/operators.rs
+++ b/crates/node/src/http/operators.rs
@@ -10,14 +10,14 @@
     hemlockspool_core::{
         clock::Moment,
         effect::OperatorReply,
-        reducer::{NodeState, OperatorCall},
+        reducer::{NodeState, OperatorCall, SetChange},
     },
     hemlockspool_model::{
         api::{
             AuditAnswer, ConfigAnswer, EntryVersion, MemberStatus, PublishAnswer, PublishBody,
-            ReplicaAnswer, ReplicaBody, ReplicaStatus, StatusAnswer,
+            PublishChange, ReplicaAnswer, ReplicaBody, ReplicaStatus, StatusAnswer,
         },
-        declaration,
+        declaration::{self, DeclarationError},
         names::OperatorName,
         set::ObjectSet,
     },
@@ -53,15 +53,15 @@
             return error.to_string().with_status(StatusCode::BAD_REQUEST).into_response();
         }
     };
-    let set = match declaration::collect(body.objects) {
-        Ok(set) => Box::new(set),
+    let change = match take_change(body.change) {
+        Ok(change) => change,
         Err(errors) => {
             let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
             return lines.join("\n").with_status(StatusCode::BAD_REQUEST).into_response();
         }
     };
     let operator = operator_of(&shell, request);
-    let call = OperatorCall::Publish { request: body.request, operator, base: body.base, set };
+    let call = OperatorCall::Publish { request: body.request, operator, base: body.base, change };
     let answer = match shell.call(call).await {
         Some(OperatorReply::Publish(answer)) => answer,
         _ => PublishAnswer::Unknown,
@@ -76,6 +76,15 @@
     Json(answer).with_status(status).into_response()
 }
 
+fn take_change(change: PublishChange) -> Result<SetChange, Vec<DeclarationError>> {
+    match change {
+        PublishChange::Objects(objects) => {
+            Ok(SetChange::Whole(Box::new(declaration::collect(objects)?)))
+        }
+        PublishChange::Delta(delta) => Ok(SetChange::Delta(delta)),
+    }
+}
+
 /// Shows the set in force.
 #[handler]
 pub(super) fn show_config(shell: Data<&Arc<NodeShell>>) -> Response {
@@ -102,20 +111,16 @@
     request: &Request,
     body: Json<ReplicaBody>,
 ) -> Response {
-    if operator_of(&shell, request).is_none() {
-        let answer = Json(ReplicaAnswer::Unauthorised);
-        return answer.with_status(StatusCode::UNAUTHORIZED).into_response();
-    }
-    let call = match body.0 {
-        ReplicaBody::Init => OperatorCall::ReplicaInit,
-        ReplicaBody::Add(name) => OperatorCall::ReplicaAdd(name),
-        ReplicaBody::Remove(name) => OperatorCall::ReplicaRemove(name),
-    };
+    let operator = operator_of(&shell, request);
+    let call = OperatorCall::Replicas { operator, body: body.0 };
     let Some(OperatorReply::Replica(answer)) = shell.call(call).await else {
         return StatusCode::SERVICE_UNAVAILABLE.into();
     };
-    let done = answer == ReplicaAnswer::Done;
-    let status = if done { StatusCode::OK } else { StatusCode::CONFLICT };
+    let status = match &answer {
+        ReplicaAnswer::Done => StatusCode::OK,
+        ReplicaAnswer::Unauthorised => StatusCode::UNAUTHORIZED,
+        _ => StatusCode::CONFLICT,
+    };
     Json(answer).with_status(status).into_response()
 }
 
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -11,6 +11,7 @@
         steering::SteeringIndex,
     },
     hemlockspool_model::{
+        api::PublishChange,
         check,
         delta::SetDelta,
         names::{ConfigVersion, RequestTag},
@@ -212,7 +213,7 @@
     let mut objects = cluster.objects();
     objects.extend((0..blocks).map(|number| block(number, number % 3)));
     let begun = Instant::now();
-    cluster.publish(0, "blocks", 1, objects.clone()).await;
+    cluster.publish(0, "blocks", 1, objects).await;
     cluster.in_force(2).await;
     let first_ms = begun.elapsed().as_millis() as u64;
     sleep(Duration::from_secs(3)).await;
@@ -221,12 +222,14 @@
     };
     let after_first = memory();
     let mut change_ms = Vec::new();
-    let fixed = objects.len() - blocks;
     for change in 0..20 {
-        objects[fixed + change * 7] = block(change * 7, (change * 7 + 1) % 3);
+        let object = block(change * 7, (change * 7 + 1) % 3);
+        let delta = SetDelta { upserts: vec![object], removals: Vec::new() };
         let base = cluster.status(0).await.and_then(|s| s.version).unwrap().0;
         let begun = Instant::now();
-        let answer = cluster.publish(0, &format!("change-{change}"), base, objects.clone()).await;
+        let tag = format!("change-{change}");
+        let sent = PublishChange::Delta(delta);
+        let answer = cluster.publish_change(0, &tag, ConfigVersion(base), sent).await;
         assert!(answer.is_some());
         cluster.in_force(base + 1).await;
         change_ms.push(begun.elapsed().as_millis() as u64);
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -11,7 +11,10 @@
         stand_in::{GroupGauge, StandPlan, StandServer},
     },
     hemlockspool_model::{
-        api::{ConfigAnswer, PublishAnswer, PublishBody, ReplicaAnswer, ReplicaBody, StatusAnswer},
+        api::{
+            ConfigAnswer, PublishAnswer, PublishBody, PublishChange, ReplicaAnswer, ReplicaBody,
+            StatusAnswer,
+        },
         names::{ConfigVersion, RequestTag},
         objects::{
             DeclaredObject, DomainObject, EntryObject, KindPolicy, LinkObject, RegionObject,
@@ -461,7 +464,18 @@
         objects: Vec<DeclaredObject>,
     ) -> Option<PublishAnswer> {
         let base = ConfigVersion(base);
-        let body = PublishBody { request: RequestTag::new(tag), base, objects };
+        self.publish_change(at, tag, base, PublishChange::Objects(objects)).await
+    }
+
+    /// Sends one publication of any form, once.
+    pub async fn publish_change(
+        &self,
+        at: usize,
+        tag: &str,
+        base: ConfigVersion,
+        change: PublishChange,
+    ) -> Option<PublishAnswer> {
+        let body = PublishBody { request: RequestTag::new(tag), base, change };
         let posting = self.client.post(self.url(at, "/v1/publish")).bearer_auth(TOKEN).json(&body);
         posting.timeout(Duration::from_secs(10)).send().await.ok()?.json().await.ok()
     }
--- a/crates/testkit/tests/publication.rs
+++ b/crates/testkit/tests/publication.rs
@@ -228,14 +228,21 @@
 async fn publication_audit_trail() {
     let cluster = TestCluster::start(five_domains()).await;
     cluster.publish_in_force("first", cluster.objects()).await;
-    let body = serde_json::json!({"request": "intruder", "base": 1, "objects": []});
+    let body = serde_json::json!({"request": "intruder", "base": 1, "change": {"objects": []}});
     let posting =
         cluster.client.post(cluster.url(4, "/v1/publish")).bearer_auth("wrong").json(&body);
     assert_eq!(posting.send().await.unwrap().status(), 401);
+    let posting = cluster.client.post(cluster.url(1, "/v1/replicas")).bearer_auth("wrong");
+    assert_eq!(posting.json("init").send().await.unwrap().status(), 401);
     let mut faulty = cluster.objects();
     faulty.remove(0);
     let answer = cluster.publish(0, "faulty", 1, faulty).await;
     assert!(matches!(answer, Some(PublishAnswer::Faulty { .. })), "{answer:?}");
+    until("the refused change of replicas is recorded", || async {
+        let page = cluster.client.get(cluster.url(0, "/v1/audit?limit=100")).send().await.unwrap();
+        page.text().await.unwrap().contains("\"request\":\"replicas\"")
+    })
+    .await;
     // An entry without a disk sends the asker on to one that has the trail.
     let page = cluster.client.get(cluster.url(4, "/v1/audit?limit=100")).send().await.unwrap();
     let page: AuditAnswer = page.json().await.unwrap();
@@ -244,6 +251,10 @@
     assert_eq!(of("first").unwrap().operator.as_ref().unwrap().as_str(), "ops");
     assert_eq!(of("intruder").unwrap().action, AuditAction::Unauthorised);
     assert_eq!(of("intruder").unwrap().operator, None);
+    assert_eq!(of("replicas").unwrap().action, AuditAction::Unauthorised);
+    let asked = page.records.iter().filter(|r| r.changed[..] == ["asked to take in a2-e0"]);
+    assert!(asked.clone().all(|record| record.operator == Some("ops".into())));
+    assert_eq!(asked.count(), 1);
     assert_eq!(of("faulty").unwrap().action, AuditAction::Faulty);
     assert_eq!(cluster.config(4).await.unwrap().version.0, 1);
     let mut chain = String::new();
