A region that dies under load and comes back

Cause: region loss had no test of its own. Five entries and replicas over three regions, one region's two entries killed under load and restarted; no target may run more than its slots, bookings go on with three voters of five, and most requests are served.

--- a/crates/testkit/tests/limits.rs
+++ b/crates/testkit/tests/limits.rs
@@ -204,3 +204,61 @@
     }
     cluster.in_force(version + 1).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_region_dies_and_returns() {
+    let target = StandPlan { slots: 4, queue: 64, service_ms: 30, ..StandPlan::default() };
+    let domains = vec![
+        domain("a1", "a", 1, 2),
+        domain("b1", "b", 1, 2),
+        domain("c1", "c", 1, 2),
+        domain("a2", "a", 1, 2),
+        domain("b2", "b", 1, 2),
+    ];
+    let plan = ClusterPlan { domains, replicas: 5, target, ..ClusterPlan::default() };
+    let cluster = TestCluster::start(plan).await;
+    cluster.publish_in_force("first", cluster.objects()).await;
+    let lost = [0, 3];
+    let asking = (0..60).map(|number: usize| {
+        let cluster = &cluster;
+        async move {
+            let client = caller(5, number as u8 + 1);
+            let mut ran = 0;
+            for round in 0..60 {
+                // A caller goes through its list: the next entry when one doesn't answer.
+                for turn in 0..5 {
+                    let url = cluster.url((number + round + turn) % 5, "/s/desk/read/x");
+                    let Ok(answer) = client.get(url).send().await else { continue };
+                    ran += u32::from(answer.headers()[OUTCOME_HEADER] == "ran");
+                    break;
+                }
+                sleep(Duration::from_millis(60)).await;
+            }
+            ran
+        }
+    });
+    let faults = async {
+        sleep(Duration::from_millis(800)).await;
+        for at in lost {
+            cluster.nodes[at].kill();
+        }
+        // Two voters of five are gone; what must run at most once still can.
+        until("a booking runs without the region", || async {
+            let posting = cluster.client.post(cluster.url(1, "/s/desk/book/y")).body("x");
+            let answer = posting.header("idempotency-key", "k").send().await.unwrap();
+            answer.headers()[OUTCOME_HEADER] == "ran"
+        })
+        .await;
+        for at in lost {
+            cluster.nodes[at].start();
+        }
+        cluster.ready().await;
+    };
+    let (ran, ()) = tokio::join!(futures_util::future::join_all(asking), faults);
+    for server in &cluster.targets {
+        let peak = server.target.peak.load(Ordering::SeqCst);
+        assert!(peak <= 4, "{} ran {peak} at once", server.target.plan.name);
+    }
+    let served: u32 = ran.iter().sum();
+    assert!(served > 1_800, "most are served throughout: {served} of 3600");
+}
