Read as a newcomer: smaller modules, nothing twice, no words that nothing says

operators.rs (calls by operators) out of the reducer, durability.rs (waiting for the disk) out of the group, node_process.rs and process_stat.rs in the testkit; two refusal reasons and one event that were never given are gone from the types, the catalogue and the pages.

--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -1,11 +1,12 @@
 /*!
-The state of one group at one replica, and the waiting for its disk.
+The state of one group at one replica.
 */
 
 use {
     crate::{
         clock::Moment,
         consensus::{
+            durability::WaitingAction,
             log_buffer::LogBuffer,
             snapshot::SnapshotIntake,
             types::{
@@ -91,15 +92,6 @@
     pub snapshot_sent_at: Option<Moment>,
 }
 
-/// Something that waits for a write.
-#[derive(Clone, Debug)]
-enum WaitingAction {
-    Send { peer: SocketAddr, to: ReplicaId, message: ConsensusMessage },
-    OwnVote { term: u64 },
-    Durable { index: u64 },
-    CommitMark { index: u64 },
-}
-
 /// One group at one replica.
 #[derive(Clone, Debug)]
 pub struct ConsensusGroup {
@@ -111,7 +103,7 @@
     pub(crate) member_log: Vec<(u64, MemberSet)>,
     pub(crate) commit: u64,
     pub(crate) taken: u64,
-    commit_marked: u64,
+    pub(super) commit_marked: u64,
     pub(crate) durable: u64,
     pub(crate) role: ReplicaRole,
     pub(crate) leader: Option<ReplicaId>,
@@ -125,9 +117,9 @@
     pub(crate) random: Pcg32,
     /// Where messages came from, for replicas that no known set has.
     contacts: BTreeMap<ReplicaId, SocketAddr>,
-    waiting: VecDeque<(u64, WaitingAction)>,
-    ticket: u64,
-    ticket_done: u64,
+    pub(super) waiting: VecDeque<(u64, WaitingAction)>,
+    pub(super) ticket: u64,
+    pub(super) ticket_done: u64,
 }
 
 impl ConsensusGroup {
@@ -333,18 +325,6 @@
         self.take_effects()
     }
 
-    /// Takes back a ticket: its batch and all before it are synced.
-    pub fn persisted(&mut self, ticket: u64, now: Moment) -> Vec<ConsensusEffect> {
-        self.ticket_done = self.ticket_done.max(ticket);
-        while self.waiting.front().is_some_and(|(wanted, _)| *wanted <= self.ticket_done) {
-            let Some((_, action)) = self.waiting.pop_front() else {
-                break;
-            };
-            self.perform(action, now);
-        }
-        self.take_effects()
-    }
-
     /// Adds an entry as leader, and returns its place; none when this replica doesn't lead.
     pub fn propose(&mut self, payload: LogPayload, now: Moment) -> Option<LogPosition> {
         if !self.is_leader() {
@@ -376,19 +356,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Writes the commit index down, so that a restart starts no earlier than it.
-    pub fn mark_commit(&mut self) -> Vec<ConsensusEffect> {
-        self.hard.commit = self.commit;
-        self.persist_hard();
-        self.waiting.push_back((self.ticket, WaitingAction::CommitMark { index: self.commit }));
-        self.take_effects()
-    }
-
-    /// Returns the commit index that a restart would start from.
-    pub fn commit_marked(&self) -> u64 {
-        self.commit_marked
-    }
-
     pub(crate) fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
         self.members().iter().filter(|(_, member)| member.voter).map(|(id, _)| *id)
     }
@@ -437,64 +404,17 @@
         }
     }
 
-    /// Asks for a write, after which the end of the log as it is now counts as durable.
-    pub(crate) fn persist(&mut self, batch: PersistBatch) {
-        self.ticket += 1;
-        let index = self.log.last().index;
-        self.waiting.push_back((self.ticket, WaitingAction::Durable { index }));
-        self.effects.push(ConsensusEffect::Persist { ticket: self.ticket, batch });
-    }
-
-    pub(crate) fn persist_hard(&mut self) {
-        let hard = Some(self.hard);
-        self.persist(PersistBatch { hard, ..PersistBatch::default() });
-    }
-
-    /// Counts this replica's own vote once its term is on disk.
-    pub(crate) fn vote_when_durable(&mut self) {
-        let action = WaitingAction::OwnVote { term: self.hard.term };
-        self.waiting.push_back((self.ticket, action));
-    }
-
-    /// Sends once every write asked for so far is on disk.
-    pub(crate) fn send_durable(&mut self, to: ReplicaId, message: ConsensusMessage) {
-        let Some(peer) = self.peer_of(to) else { return };
-        if self.ticket == self.ticket_done {
-            self.effects.push(ConsensusEffect::Send { peer, to, message });
-            return;
-        }
-        self.waiting.push_back((self.ticket, WaitingAction::Send { peer, to, message }));
-    }
-
     /// Sends at once: only for what promises nothing about this replica's disk.
     pub(crate) fn send_now(&mut self, to: ReplicaId, message: ConsensusMessage) {
         let Some(peer) = self.peer_of(to) else { return };
         self.effects.push(ConsensusEffect::Send { peer, to, message });
     }
 
-    fn peer_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+    pub(super) fn peer_of(&self, id: ReplicaId) -> Option<SocketAddr> {
         let member = self.members().get(&id).map(|member| member.peer);
         member.or_else(|| self.contacts.get(&id).copied())
     }
 
-    fn perform(&mut self, action: WaitingAction, now: Moment) {
-        match action {
-            WaitingAction::Send { peer, to, message } => {
-                self.effects.push(ConsensusEffect::Send { peer, to, message });
-            }
-            WaitingAction::OwnVote { term } => self.count_own_vote(term, now),
-            WaitingAction::Durable { index } => {
-                self.durable = self.durable.max(index);
-                if self.is_leader() {
-                    self.advance_commit(now);
-                }
-            }
-            WaitingAction::CommitMark { index } => {
-                self.commit_marked = self.commit_marked.max(index);
-            }
-        }
-    }
-
     fn tick_leader(&mut self, now: Moment) {
         let contact = self.quorum_contact(now).unwrap_or_default();
         if now.since(contact) > ELECTION_MIN && now.since(self.leader_heard) > ELECTION_MIN {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -9,10 +9,11 @@
 
 * [`types`] has what is stored and sent.
 * [`log_buffer`] is the part of the log held in memory.
-* [`group`] is the state, and the waiting for disk.
+* [`group`] is the state; `durability` makes promises wait for the disk.
 * `election`, `replication`, `snapshot` and `members` hold one job each.
 */
 
+mod durability;
 mod election;
 pub mod group;
 pub mod log_buffer;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,8 @@
 * [`domain`] splits what a failure domain has among its entries; [`caps`] holds the domain's parts.
 * [`steering`] answers look-ups.
 * [`targets`] judges targets; [`requests`] admits, places, retries and ends requests.
-* [`reducer`] routes events to these; [`effect`] is what comes out; [`wire`] is what travels.
+* [`operators`] takes operators' calls.
+* [`reducer`] routes events to all of these; [`effect`] is what comes out; [`wire`] is what travels.
 */
 
 pub mod caps;
@@ -23,6 +24,7 @@
 pub mod identity;
 pub mod ledger;
 pub mod notes;
+pub mod operators;
 pub mod reducer;
 pub mod replica;
 pub mod requests;
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -7,7 +7,7 @@
 
 use {
     hemlockspool_model::names::{ConfigVersion, InstanceName, TargetName},
-    std::{fmt, net::SocketAddr},
+    std::fmt,
 };
 
 /// How much a note matters.
@@ -113,11 +113,6 @@
         /// The entry.
         name: InstanceName,
     },
-    /// An address is taken.
-    AddressTaken {
-        /// The address.
-        address: SocketAddr,
-    },
     /// The disk refused a write.
     DiskFailed,
     /// The list of instances can't be read.
@@ -146,7 +141,6 @@
         (142, NoteLevel::Info, "a target leaves and gets no new work"),
         (150, NoteLevel::Warn, "this process stood still and starts over with its shares"),
         (151, NoteLevel::Warn, "another entry of the failure domain went silent"),
-        (160, NoteLevel::Warn, "an address is taken"),
         (161, NoteLevel::Warn, "the disk refused a write"),
         (162, NoteLevel::Warn, "the list of instances can't be read"),
     ];
@@ -173,7 +167,6 @@
             Self::TargetLeaving { .. } => 142,
             Self::Thawed { .. } => 150,
             Self::PeerSilent { .. } => 151,
-            Self::AddressTaken { .. } => 160,
             Self::DiskFailed => 161,
             Self::InstanceListLost => 162,
         }
@@ -211,7 +204,6 @@
             | Self::TargetReturned { target }
             | Self::TargetLeaving { target } => write!(f, " target={target}"),
             Self::Thawed { millis } => write!(f, " millis={millis}"),
-            Self::AddressTaken { address } => write!(f, " address={address}"),
             Self::Stopping | Self::Stopped | Self::DiskFailed | Self::InstanceListLost => Ok(()),
         }
     }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -9,12 +9,13 @@
     crate::{
         caps::DomainCaps,
         clock::{ClockReading, Moment},
-        consensus::{GroupId, MemberRefusal, ReplicaMember},
+        consensus::GroupId,
         domain::{DomainPeers, PULSE_LEASE},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
         identity::NodeIdentity,
-        ledger::{LedgerCommand, LedgerOutcome, PublishCommand},
+        ledger::{LedgerCommand, LedgerOutcome},
         notes::NodeNote,
+        operators::OperatorCall,
         replica::ReplicaNode,
         requests::{RequestBook, RequestEvent, book::RequestContext},
         spread::{ConfigCopy, UpstreamChoice},
@@ -24,10 +25,8 @@
         wire::{PeerEnvelope, PeerMessage},
     },
     hemlockspool_model::{
-        api::{LookupAnswer, PublishAnswer, ReplicaAnswer, ReplicaBody},
-        delta::SetDelta,
-        names::{ConfigVersion, OperatorName, RegionName, RequestTag, TargetName},
-        set::ObjectSet,
+        api::{LookupAnswer, PublishAnswer},
+        names::{RegionName, TargetName},
     },
     rand_pcg::Pcg32,
     std::{
@@ -37,10 +36,6 @@
     },
 };
 
-/// How long a publication may take before its sender is told that its fate is unknown.
-const PUBLISH_PATIENCE: Duration = Duration::from_secs(6);
-/// How long a node tries to have something recorded for the audit trail.
-const RECORD_PATIENCE: Duration = Duration::from_secs(300);
 /// The time between reports of tallies.
 const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// How long a report of tallies is tried for.
@@ -48,38 +43,6 @@
 /// The time to live of look-up answers when no service is declared.
 const LOOKUP_TTL_DEFAULT_MS: u64 = 1_000;
 
-/// A call by an operator.
-#[derive(Clone, Debug)]
-pub enum OperatorCall {
-    /// Publishes a set.
-    Publish {
-        /// Chosen by the sender.
-        request: RequestTag,
-        /// Who asks; none when the token isn't known.
-        operator: Option<OperatorName>,
-        /// The version that the change was made from.
-        base: ConfigVersion,
-        /// The change.
-        change: SetChange,
-    },
-    /// Changes the replicas.
-    Replicas {
-        /// Who asks; none when the token isn't known.
-        operator: Option<OperatorName>,
-        /// What is asked for.
-        body: ReplicaBody,
-    },
-}
-
-/// A change of the set in force.
-#[derive(Clone, Debug)]
-pub enum SetChange {
-    /// This whole set in its place.
-    Whole(Box<ObjectSet>),
-    /// Some objects put in and taken out.
-    Delta(SetDelta),
-}
-
 /// Something that happens to a node.
 #[derive(Clone, Debug)]
 pub enum NodeEvent {
@@ -119,16 +82,16 @@
 /// The state of a node.
 #[derive(Clone, Debug)]
 pub struct NodeState {
-    identity: NodeIdentity,
-    seeds: Vec<SocketAddr>,
-    replicas: BTreeMap<GroupId, ReplicaNode>,
-    config: ConfigCopy,
+    pub(crate) identity: NodeIdentity,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) replicas: BTreeMap<GroupId, ReplicaNode>,
+    pub(crate) config: ConfigCopy,
     caps: DomainCaps,
     index: SteeringIndex,
     peers: DomainPeers,
     targets: TargetBoard,
     requests: RequestBook,
-    submits: SubmitBook,
+    pub(crate) submits: SubmitBook,
     tally_due: Moment,
     tally_under_way: bool,
     random: Pcg32,
@@ -386,122 +349,6 @@
         in_region && self.targets.fits(share)
     }
 
-    fn operate(
-        &mut self,
-        ticket: ReplyTicket,
-        call: OperatorCall,
-        clock: ClockReading,
-    ) -> Vec<NodeEffect> {
-        match call {
-            OperatorCall::Publish { request, operator, base, change } => {
-                let Some(operator) = operator else {
-                    return self.refuse_operator(ticket, request, clock.now);
-                };
-                let delta = self.delta_of(base, change);
-                let operator = Some(operator);
-                let publish = PublishCommand { request, operator, base, delta, faults: Vec::new() };
-                let command = LedgerCommand::Publish(publish);
-                self.submit_for(ticket, command, clock.now)
-            }
-            OperatorCall::Replicas { operator, body } => {
-                let Some(operator) = operator else {
-                    return self.refuse_replicas(ticket, clock.now);
-                };
-                self.operate_replicas(ticket, operator, body, clock.now)
-            }
-        }
-    }
-
-    /// Returns what leads from a base to the set that is wanted; none when that takes the base and
-    /// this instance hasn't got it.
-    fn delta_of(&self, base: ConfigVersion, change: SetChange) -> Option<SetDelta> {
-        match change {
-            SetChange::Delta(delta) => Some(delta),
-            SetChange::Whole(set) => {
-                let current = self.config.version() == Some(base);
-                current.then(|| SetDelta::between(self.config.set(), &set))
-            }
-        }
-    }
-
-    fn submit_for(
-        &mut self,
-        ticket: ReplyTicket,
-        command: LedgerCommand,
-        now: Moment,
-    ) -> Vec<NodeEffect> {
-        let purpose = SubmitPurpose::Operator(ticket);
-        self.submits.submit(command, purpose, PUBLISH_PATIENCE, &self.seeds, now)
-    }
-
-    /// Has a request without a known token recorded; its sender waits for that.
-    fn refuse_operator(
-        &mut self,
-        ticket: ReplyTicket,
-        request: RequestTag,
-        now: Moment,
-    ) -> Vec<NodeEffect> {
-        self.submit_for(ticket, LedgerCommand::Unauthorised { request }, now)
-    }
-
-    fn refuse_replicas(&mut self, ticket: ReplyTicket, now: Moment) -> Vec<NodeEffect> {
-        let command = LedgerCommand::Unauthorised { request: RequestTag::new("replicas") };
-        let mut effects = self.record(command, now);
-        let reply = OperatorReply::Replica(ReplicaAnswer::Unauthorised);
-        effects.push(NodeEffect::Reply { ticket, reply });
-        effects
-    }
-
-    fn record(&mut self, command: LedgerCommand, now: Moment) -> Vec<NodeEffect> {
-        let purpose = SubmitPurpose::Record;
-        self.submits.submit(command, purpose, RECORD_PATIENCE, &self.seeds, now)
-    }
-
-    fn operate_replicas(
-        &mut self,
-        ticket: ReplyTicket,
-        operator: OperatorName,
-        body: ReplicaBody,
-        now: Moment,
-    ) -> Vec<NodeEffect> {
-        let (name, peer) = (self.identity.name.clone(), self.identity.peer);
-        let asked = body.clone();
-        let mut effects = self.change_replicas(ticket, |replica| match asked {
-            ReplicaBody::Init => replica.init(ReplicaMember { name, peer, voter: true }, now),
-            ReplicaBody::Add(name) => replica.add(&name, now).map(|()| Vec::new()),
-            ReplicaBody::Remove(name) => replica.remove(&name, now).map(|()| Vec::new()),
-        });
-        let reply = OperatorReply::Replica(ReplicaAnswer::Done);
-        if effects.contains(&NodeEffect::Reply { ticket, reply }) {
-            effects.extend(self.record(LedgerCommand::Replicas { operator, body }, now));
-        }
-        effects
-    }
-
-    fn change_replicas<F>(&mut self, ticket: ReplyTicket, change: F) -> Vec<NodeEffect>
-    where
-        F: FnOnce(&mut ReplicaNode) -> Result<Vec<NodeEffect>, MemberRefusal>,
-    {
-        let reply = |answer| NodeEffect::Reply { ticket, reply: OperatorReply::Replica(answer) };
-        let Some(replica) = self.replicas.get_mut(&GroupId::default()) else {
-            return vec![reply(ReplicaAnswer::NoFolder)];
-        };
-        let (answer, mut effects) = match change(replica) {
-            Ok(effects) => (ReplicaAnswer::Done, effects),
-            Err(MemberRefusal::NotLeader) => {
-                let leader = replica.group().leader_name().cloned();
-                (ReplicaAnswer::NotLeader { leader }, Vec::new())
-            }
-            Err(MemberRefusal::Busy) => (ReplicaAnswer::Busy, Vec::new()),
-            Err(MemberRefusal::NotKnown) => (ReplicaAnswer::NotKnown, Vec::new()),
-            Err(MemberRefusal::WouldBreakQuorum) => (ReplicaAnswer::WouldBreakQuorum, Vec::new()),
-            Err(MemberRefusal::NotEmpty) => (ReplicaAnswer::NotEmpty, Vec::new()),
-        };
-        effects.extend(replica.drain_effects());
-        effects.push(reply(answer));
-        effects
-    }
-
     fn command_ended(&mut self, command: EndedCommand, clock: ClockReading) -> Vec<NodeEffect> {
         match command.purpose {
             SubmitPurpose::Operator(ticket) => {
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -78,8 +78,6 @@
     NoTarget,
     /// The region takes no more callers from elsewhere just now.
     ShiftCap,
-    /// The link to the other region carries no more just now.
-    LinkCap,
     /// The request body is larger than declared.
     BodyTooLarge,
     /// A request that runs at most once came without a key.
@@ -94,8 +92,6 @@
     ClaimOpen,
     /// The attempt ended without a complete answer.
     AttemptFailed,
-    /// The entry is stopping.
-    Stopping,
 }
 
 /// The body of every answer that is a refusal.
--- a/crates/node/src/carriage/answer.rs
+++ b/crates/node/src/carriage/answer.rs
@@ -140,9 +140,7 @@
         | R::Overloaded
         | R::NoTarget
         | R::ShiftCap
-        | R::LinkCap
         | R::NoQuorum
-        | R::ClaimsFull
-        | R::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        | R::ClaimsFull => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/node/src/http/operators.rs
+++ b/crates/node/src/http/operators.rs
@@ -10,7 +10,8 @@
     hemlockspool_core::{
         clock::Moment,
         effect::OperatorReply,
-        reducer::{NodeState, OperatorCall, SetChange},
+        operators::{OperatorCall, SetChange},
+        reducer::NodeState,
     },
     hemlockspool_model::{
         api::{
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -13,7 +13,8 @@
     hemlockspool_core::{
         clock::{ClockReading, Moment},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
-        reducer::{NodeEvent, NodeState, OperatorCall},
+        operators::OperatorCall,
+        reducer::{NodeEvent, NodeState},
         requests::{RequestEvent, RequestId, RequestOrder},
         wire::PeerEnvelope,
     },
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -21,10 +21,12 @@
         },
         set::ObjectSet,
     },
-    hemlockspool_testkit::cluster::{ClusterPlan, DomainPlan, TestCluster},
+    hemlockspool_testkit::{
+        cluster::{ClusterPlan, DomainPlan, TestCluster},
+        process_stat::{cpu_seconds, resident_mb},
+    },
     serde_json::json,
     std::{
-        fs,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
     },
@@ -106,13 +108,6 @@
     })
 }
 
-fn resident_mb(process: &str) -> f64 {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
-    let kb: f64 = line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0.0);
-    kb / 1_024.0
-}
-
 fn timed<T, F>(act: F) -> (T, f64)
 where
     F: FnOnce() -> T,
@@ -126,9 +121,9 @@
     let made = full_set(blocks);
     let made_bytes = postcard::to_allocvec(&made).unwrap();
     // What an instance holds is what it decoded, with shared names.
-    let before = resident_mb("self");
+    let before = resident_mb(own_pid());
     let (set, decode_ms) = timed(|| postcard::from_bytes::<ObjectSet>(&made_bytes).unwrap());
-    let set_mb = resident_mb("self") - before;
+    let set_mb = resident_mb(own_pid()) - before;
     assert_eq!(set, made);
     drop(made);
     let (faults, check_ms) = timed(|| check::faults(&set));
@@ -182,7 +177,7 @@
 }
 
 fn claims(count: usize) -> serde_json::Value {
-    let before = resident_mb("self");
+    let before = resident_mb(own_pid());
     let mut ledger = LedgerState::default();
     for number in 0..count {
         let key = ClaimKey { service: "desk".into(), key: format!("caller-key-{number:016}") };
@@ -198,7 +193,7 @@
         let answer = SettledAnswer { status: 200, content_type: None, body };
         ledger.apply(1, LedgerCommand::Settle { key, token, answer });
     }
-    let held = resident_mb("self") - before;
+    let held = resident_mb(own_pid()) - before;
     let bytes = ledger.encode().len();
     json!({"claims": count, "mb": held, "bytes_each": held * 1_048_576.0 / count as f64, "snapshot_bytes": bytes})
 }
@@ -217,9 +212,8 @@
     cluster.in_force(2).await;
     let first_ms = begun.elapsed().as_millis() as u64;
     sleep(Duration::from_secs(3)).await;
-    let memory = || -> Vec<f64> {
-        cluster.nodes.iter().map(|node| resident_mb(&node.pid().to_string())).collect()
-    };
+    let memory =
+        || -> Vec<f64> { cluster.nodes.iter().map(|node| resident_mb(node.pid())).collect() };
     let after_first = memory();
     let mut change_ms = Vec::new();
     for change in 0..20 {
@@ -247,14 +241,6 @@
     })
 }
 
-fn cpu_seconds(pid: i32) -> f64 {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<&str> =
-        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    (ticks(11) + ticks(12)) / 100.0
-}
-
 /// Costs of control while nothing is asked, by role, and the time until a version is in force.
 async fn figures(cluster: &TestCluster) -> serde_json::Value {
     const SECONDS: u64 = 10;
@@ -270,7 +256,7 @@
         let bytes = (cluster.peer_bytes(at) - sent[at]) as f64 / SECONDS as f64;
         let role = cluster.status(at).await.and_then(|s| s.replica).map(|r| r.role);
         let role = role.unwrap_or_else(|| "entry".to_owned());
-        roles.entry(role).or_default().push([cpu, resident_mb(&pid.to_string()), bytes]);
+        roles.entry(role).or_default().push([cpu, resident_mb(pid), bytes]);
     }
     let begun = Instant::now();
     let at = cluster.leader().await;
@@ -325,3 +311,7 @@
     cluster.publish_in_force("first", cluster.objects()).await;
     figures(&cluster).await
 }
+
+fn own_pid() -> i32 {
+    std::process::id() as i32
+}
--- a/crates/testkit/examples/measure.rs
+++ b/crates/testkit/examples/measure.rs
@@ -10,10 +10,11 @@
     hemlockspool_testkit::{
         cluster::{ClusterPlan, DomainPlan, TestCluster, until},
         load::{LoadPlan, LoadReport, load_client, run_load},
+        process_stat::{cpu_seconds, resident_mb},
         stand_in::StandPlan,
     },
     serde_json::{Value, json},
-    std::{fs, sync::atomic::Ordering, time::Duration},
+    std::{sync::atomic::Ordering, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -359,18 +360,3 @@
     }
     json!({"first_booking_after_ms": times})
 }
-
-fn cpu_seconds(pid: i32) -> f64 {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<&str> =
-        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    (ticks(11) + ticks(12)) / 100.0
-}
-
-fn resident_mb(pid: i32) -> f64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
-    let kb = line.and_then(|line| line.split_whitespace().nth(1)).and_then(|kb| kb.parse().ok());
-    kb.unwrap_or(0.0) / 1_024.0
-}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,7 +4,8 @@
 
 * [`stand_in`] is a target and the platform's list of instances.
 * [`fault_proxy`] delays, cuts, freezes and slows TCP connections.
-* [`cluster`] starts daemons as processes, with settings in a temporary folder.
+* [`node_process`] is one daemon as a process, and [`cluster`] many, with settings in a temporary folder.
+* [`process_stat`] reads what the system says of a process.
 * [`load`] sends open-loop load and measures it.
 */
 #![allow(missing_docs)]
@@ -12,4 +13,6 @@
 pub mod cluster;
 pub mod fault_proxy;
 pub mod load;
+pub mod node_process;
+pub mod process_stat;
 pub mod stand_in;
--- /dev/null
+++ b/crates/testkit/src/node_process.rs
@@ -0,0 +1,115 @@
+/*!
+One daemon as a process.
+*/
+
+use {
+    crate::cluster::PATIENCE,
+    std::{
+        fs::{self, File},
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::Mutex,
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// Returns the path of a program of the workspace.
+pub fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().unwrap();
+    path.pop();
+    if path.ends_with("deps") || path.ends_with("examples") {
+        path.pop();
+    }
+    path.push(name);
+    assert!(path.exists(), "{} is missing: run `cargo build --workspace` first", path.display());
+    path
+}
+
+/// One daemon.
+pub struct NodeProcess {
+    pub name: String,
+    pub domain: String,
+    pub region: String,
+    pub http: SocketAddr,
+    pub peer: SocketAddr,
+    pub settings: PathBuf,
+    pub data: Option<PathBuf>,
+    pub log: PathBuf,
+    pub(crate) child: Mutex<Option<Child>>,
+}
+
+impl NodeProcess {
+    pub fn start(&self) {
+        assert!(!self.runs(), "{} runs already", self.name);
+        let log = File::options().create(true).append(true).open(&self.log).unwrap();
+        let mut command = Command::new(program("hemlockspoold"));
+        command.arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        *self.child.lock().unwrap() = Some(command.spawn().unwrap());
+    }
+
+    pub fn runs(&self) -> bool {
+        self.child.lock().unwrap().is_some()
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.child.lock().unwrap().as_ref().map(|child| child.id() as i32).expect("it runs")
+    }
+
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child.lock().unwrap().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        #[allow(unsafe_code)]
+        // The process is a child of this one and hasn't been waited for.
+        let sent = unsafe { libc::kill(self.pid(), signal) };
+        assert_eq!(sent, 0);
+    }
+
+    pub fn freeze(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Asks for a planned stop and waits for its end; returns the exit code.
+    pub async fn stop(&self) -> Option<i32> {
+        self.signal(libc::SIGTERM);
+        self.ended().await
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn ended(&self) -> Option<i32> {
+        let mut child = self.child.lock().unwrap().take().expect("it runs");
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < deadline, "{} does not end", self.name);
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            eprintln!("-- log of {}\n{}", self.name, self.log_text());
+        }
+    }
+}
--- a/crates/testkit/tests/command_line.rs
+++ b/crates/testkit/tests/command_line.rs
@@ -1,7 +1,7 @@
 //! The command line and the daemon's settings: golden answers and exit codes.
 
 use {
-    hemlockspool_testkit::cluster::program,
+    hemlockspool_testkit::node_process::program,
     std::{
         fs,
         path::Path,
--- a/crates/testkit/tests/golden_session.rs
+++ b/crates/testkit/tests/golden_session.rs
@@ -2,7 +2,10 @@
 
 use {
     hemlockspool_model::api::{ENTRY_HEADER, OUTCOME_HEADER, TARGET_HEADER, VERSION_HEADER},
-    hemlockspool_testkit::cluster::{ClusterPlan, DomainPlan, TOKEN, TestCluster, program, until},
+    hemlockspool_testkit::{
+        cluster::{ClusterPlan, DomainPlan, TOKEN, TestCluster, until},
+        node_process::program,
+    },
     std::{fs, process::Command},
     tempfile::TempDir,
 };
