Keys of requests that run at most once are 256 bytes at most

Longer keys are refused as key-too-long (400), not run. The whole path's test sends one of 300 bytes (it ran before, refused after).

--- a/crates/core/src/ledger/claims.rs
+++ b/crates/core/src/ledger/claims.rs
@@ -15,6 +15,8 @@
 
 /// Claims held at most; a new one is refused beyond.
 pub const CLAIMS_MAX: usize = 50_000;
+/// The longest key, in bytes.
+pub const KEY_BYTES_MAX: usize = 256;
 /// The largest answer body that is kept for resends, in bytes.
 pub const KEPT_ANSWER_BYTES_MAX: usize = 4_096;
 
--- a/crates/core/src/requests/book.rs
+++ b/crates/core/src/requests/book.rs
@@ -16,7 +16,7 @@
         domain::DomainShare,
         effect::NodeEffect,
         identity::NodeIdentity,
-        ledger::{ClaimKey, ClaimToken, TallyCount, TallyKey, TallyReport},
+        ledger::{ClaimKey, ClaimToken, TallyCount, TallyKey, TallyReport, claims::KEY_BYTES_MAX},
         spread::ConfigCopy,
         steering::SteeringIndex,
         submit::SubmitBook,
@@ -188,8 +188,11 @@
             return Err(RefusalReason::BodyTooLarge);
         }
         let never = policy.repeat == RepeatRule::Never;
-        if never && intake.key.is_none() {
-            return Err(RefusalReason::KeyMissing);
+        if never {
+            let key = intake.key.as_ref().ok_or(RefusalReason::KeyMissing)?;
+            if key.len() > KEY_BYTES_MAX {
+                return Err(RefusalReason::KeyTooLong);
+            }
         }
         let block = set.block_of(intake.caller);
         let own_name = || CallerName::new(&intake.caller.to_string());
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -82,6 +82,8 @@
     BodyTooLarge,
     /// A request that runs at most once came without a key.
     KeyMissing,
+    /// The key is longer than the ledger keeps.
+    KeyTooLong,
     /// The key was used for another body.
     KeyReused,
     /// No quorum could record the claim.
--- a/crates/node/src/carriage/answer.rs
+++ b/crates/node/src/carriage/answer.rs
@@ -130,7 +130,7 @@
     match body.reason {
         R::NoSuchKind => StatusCode::NOT_FOUND,
         R::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        R::KeyMissing => StatusCode::BAD_REQUEST,
+        R::KeyMissing | R::KeyTooLong => StatusCode::BAD_REQUEST,
         R::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         R::ClaimOpen => StatusCode::CONFLICT,
         R::CallerOverShare => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -29,4 +29,9 @@
     let posting = cluster.client.post(cluster.url(0, "/s/desk/book/y"));
     let other = posting.header("idempotency-key", "k1").body("else").send().await.unwrap();
     assert_eq!(other.status(), 422);
+    let posting = cluster.client.post(cluster.url(0, "/s/desk/book/y")).body("x");
+    let long = posting.header("idempotency-key", "k".repeat(300)).send().await.unwrap();
+    assert_eq!(long.status(), 400, "a key may not fill the ledger's memory");
+    let bare = cluster.client.post(cluster.url(0, "/s/desk/book/y")).send().await.unwrap();
+    assert_eq!(bare.status(), 400);
 }
