Hold answers to the size that their kind declares

Neither counts against the target.

Excluded: the same for request bodies without an announced size; a broken body there can't yet be told from a broken target, and would shut targets out.

Test: carriage_answer_larger_than_declared, at the domain's entry, through a near and a far one.

--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -1,7 +1,8 @@
 /*!
 Operators' calls: publications and changes of the replicas.
 
-Whatever an operator asks for leaves a record in the audit trail, also when it is refused.
+Whatever an operator changes leaves a record in the audit trail, and so does a publication that is
+refused and any call without a known token.
 */
 
 use {
--- a/crates/model/src/api.rs
+++ b/crates/model/src/api.rs
@@ -92,6 +92,8 @@
     ClaimsFull,
     /// An earlier request with this key has not been settled.
     ClaimOpen,
+    /// It ran, and its answer is larger than declared.
+    AnswerTooLarge,
     /// The attempt ended without a complete answer.
     AttemptFailed,
 }
--- a/crates/node/src/carriage/answer.rs
+++ b/crates/node/src/carriage/answer.rs
@@ -135,7 +135,7 @@
         R::ClaimOpen => StatusCode::CONFLICT,
         R::CallerOverShare => StatusCode::TOO_MANY_REQUESTS,
         R::DeadlineTooShort => StatusCode::GATEWAY_TIMEOUT,
-        R::AttemptFailed => StatusCode::BAD_GATEWAY,
+        R::AttemptFailed | R::AnswerTooLarge => StatusCode::BAD_GATEWAY,
         R::NoConfiguration
         | R::Overloaded
         | R::NoTarget
--- a/crates/node/src/carriage/attempt.rs
+++ b/crates/node/src/carriage/attempt.rs
@@ -9,7 +9,7 @@
     super::intake::{CarriedBody, CarriedRequest},
     crate::{link_stream, shell::NodeShell},
     bytes::Bytes,
-    futures_util::TryStreamExt,
+    futures_util::{StreamExt, TryStreamExt},
     hemlockspool_core::requests::{AttemptPlace, AttemptResult, DispatchOrder},
     hemlockspool_model::{
         api::{
@@ -52,6 +52,8 @@
     Ended(AttemptResult),
     /// The whole answer is here.
     Whole { head: AnswerHead, body: Bytes },
+    /// The whole request ran, and its answer is too large to be passed on.
+    TooLarge { head: AnswerHead },
     /// The answer is on its way.
     Streaming { head: AnswerHead, response: Response },
 }
@@ -102,6 +104,9 @@
         return AttemptOutcome::Ended(AttemptResult::Broken);
     }
     let head = answer_head(&response, order, took);
+    if head.size.is_some_and(|size| size > carried.answer_bytes) {
+        return AttemptOutcome::TooLarge { head };
+    }
     if head.size.is_none_or(|size| size > HELD_ANSWER_BYTES_MAX) {
         return AttemptOutcome::Streaming { head, response };
     }
@@ -232,6 +237,22 @@
     AnswerHead { status: response.status(), headers, target, took, size: response.content_length() }
 }
 
+/// Ends a body with an error once it is larger than declared.
+pub(crate) fn capped<S>(
+    body: S,
+    most: u64,
+) -> impl futures_util::Stream<Item = io::Result<Bytes>> + Send + 'static
+where
+    S: futures_util::Stream<Item = io::Result<Bytes>> + Send + 'static,
+{
+    let mut seen = 0;
+    body.map(move |piece| {
+        let piece = piece?;
+        seen += piece.len() as u64;
+        if seen > most { Err(io::ErrorKind::FileTooLarge.into()) } else { Ok(piece) }
+    })
+}
+
 /// Returns the body of an answer as a stream.
 pub(crate) fn answer_stream(
     response: Response,
--- a/crates/node/src/carriage/drive.rs
+++ b/crates/node/src/carriage/drive.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         answer::{RequestGuard, WatchedStream, ran, refused, replayed},
-        attempt::{AnswerHead, AttemptOutcome, answer_stream, attempt},
+        attempt::{AnswerHead, AttemptOutcome, answer_stream, attempt, capped},
         intake::CarriedRequest,
     },
     crate::{link_stream::paced, shell::NodeShell},
@@ -86,6 +86,12 @@
                 ended(shell, id, &order, result);
                 return DriveEnd::Whole { head, body };
             }
+            AttemptOutcome::TooLarge { head } => {
+                let answer = carried.never_repeated.then(|| kept_answer(&head, None));
+                let result = AttemptResult::Answered { answer, took: head.took };
+                ended(shell, id, &order, result);
+                return DriveEnd::Final(refused(shell, &too_large()));
+            }
             AttemptOutcome::Streaming { head, response } => {
                 return DriveEnd::Streaming { head, response, attempt: attempt_number };
             }
@@ -115,8 +121,11 @@
         shell.read(|state, _| state.config().set().region_of(&state.identity().domain).cloned());
     let far = carried.forwarded_from.clone().filter(|region| Some(region) != own.as_ref());
     let body = match far {
-        Some(region) => Body::from_bytes_stream(paced(watch(guard), Arc::clone(shell), region)),
-        None => Body::from_bytes_stream(watch(guard)),
+        Some(region) => {
+            let stream = capped(watch(guard), carried.answer_bytes);
+            Body::from_bytes_stream(paced(stream, Arc::clone(shell), region))
+        }
+        None => Body::from_bytes_stream(capped(watch(guard), carried.answer_bytes)),
     };
     ran(shell, head, body)
 }
@@ -136,6 +145,11 @@
     RefusalBody { reason, outcome: RunOutcome::NotRun, retry_after_ms: RETRY_AFTER_MS }
 }
 
+fn too_large() -> RefusalBody {
+    let (reason, outcome) = (RefusalReason::AnswerTooLarge, RunOutcome::Ran);
+    RefusalBody { reason, outcome, retry_after_ms: RETRY_AFTER_MS }
+}
+
 fn unknown() -> RefusalBody {
     let (reason, outcome) = (RefusalReason::AttemptFailed, RunOutcome::Unknown);
     RefusalBody { reason, outcome, retry_after_ms: RETRY_AFTER_MS }
--- a/crates/node/src/carriage/intake.rs
+++ b/crates/node/src/carriage/intake.rs
@@ -52,6 +52,8 @@
     pub forwarded_from: Option<RegionName>,
     pub forwarded: bool,
     pub never_repeated: bool,
+    /// The largest answer that is passed on, in bytes.
+    pub answer_bytes: u64,
     pub key: Option<String>,
     pub deadline: Option<Duration>,
 }
@@ -92,6 +94,7 @@
             forwarded_from,
             forwarded: forwarder.is_some(),
             never_repeated,
+            answer_bytes: policy.answer_bytes,
             key,
             deadline: deadline.map(Duration::from_millis),
             headers,
--- a/crates/testkit/tests/carriage.rs
+++ b/crates/testkit/tests/carriage.rs
@@ -1,7 +1,10 @@
 //! Complete answers, true refusals, cancellation, fairness and overload.
 
 use {
-    hemlockspool_model::api::{OUTCOME_HEADER, RefusalBody, RefusalReason, TARGET_HEADER},
+    hemlockspool_model::{
+        api::{OUTCOME_HEADER, RefusalBody, RefusalReason, TARGET_HEADER},
+        objects::DeclaredObject,
+    },
     hemlockspool_testkit::{
         cluster::{ClusterPlan, DomainPlan, TestCluster, until},
         stand_in::{MARK_HEADER, StandFaults, StandPlan, answer_byte},
@@ -64,6 +67,26 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn carriage_answer_larger_than_declared() {
+    let cluster = TestCluster::start(with_remote()).await;
+    let mut objects = cluster.objects();
+    for object in &mut objects {
+        if let DeclaredObject::Service(service) = object {
+            service.kinds.get_mut(&"read".into()).unwrap().answer_bytes = 1_000;
+        }
+    }
+    cluster.publish_in_force("first", objects).await;
+    for at in 0..3 {
+        let url = cluster.url(at, "/s/desk/read/x?bytes=5000");
+        let answer = cluster.client.get(url).send().await.unwrap();
+        assert_eq!(answer.status(), 502);
+        assert_eq!(answer.headers()[OUTCOME_HEADER], "ran");
+        let body: RefusalBody = answer.json().await.unwrap();
+        assert_eq!(body.reason, RefusalReason::AnswerTooLarge);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn carriage_small_cut_answer_tried_again() {
     let cluster = started(with_remote()).await;
