A claim outlasts its request

A caller's own deadline had no bound.

Change: the whole-set check wants ten deadlines of retention at least for kinds that run at most once, and an entry cuts a caller's deadline at half of the retention.

Tests: check_retention_outlasts_requests; the ledger's and requests' seeded tests are green.

--- a/crates/core/src/requests/book.rs
+++ b/crates/core/src/requests/book.rs
@@ -201,7 +201,11 @@
         let home_region = home.as_ref().and_then(|domain| set.region_of(domain));
         let foreign = home_region.is_some_and(|region| *region != ctx.caps.region);
         let given = Duration::from_millis(policy.deadline_ms);
-        let deadline = intake.deadline.unwrap_or(given);
+        let mut deadline = intake.deadline.unwrap_or(given);
+        if never {
+            // The claim must outlast the request, whatever time its caller allows.
+            deadline = deadline.min(Duration::from_millis(policy.retention_ms / 2));
+        }
         let request = OpenRequest {
             intake,
             policy,
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -25,6 +25,9 @@
 /// the request may reach a target, so the whole of it is held in memory.
 pub const NEVER_REPEATED_BYTES_MAX: u64 = 1 << 20;
 
+/// For how many times its deadline the outcome of a kind that runs at most once is kept at least.
+pub const RETENTION_DEADLINES: u64 = 10;
+
 /// The least share of a service's slots that drains must leave, in percent.
 pub const DRAIN_LEAVES_PERCENT: u64 = 50;
 
@@ -63,6 +66,16 @@
         /// The kind.
         kind: KindName,
     },
+    /// The outcome of a kind that runs at most once is forgotten while a request may still run.
+    #[error(
+        "service {service}, kind {kind}: retention_ms must be {RETENTION_DEADLINES} times deadline_ms at least"
+    )]
+    RetentionTooShort {
+        /// The service.
+        service: ServiceName,
+        /// The kind.
+        kind: KindName,
+    },
     /// Two blocks share addresses.
     #[error("caller blocks {first} and {second} overlap")]
     Overlap {
@@ -241,11 +254,18 @@
         for (kind, policy) in &service.kinds {
             let deadline = policy.deadline_ms;
             require_above_zero(deadline, object.clone(), FieldName::DeadlineMs, faults);
-            let too_large = policy.request_bytes > NEVER_REPEATED_BYTES_MAX;
-            if policy.repeat == RepeatRule::Never && too_large {
-                let (service, kind) = (service.name.clone(), kind.clone());
+            if policy.repeat == RepeatRule::Safe {
+                continue;
+            }
+            let named = || (service.name.clone(), kind.clone());
+            if policy.request_bytes > NEVER_REPEATED_BYTES_MAX {
+                let (service, kind) = named();
                 faults.push(CheckFault::NeverTooLarge { service, kind });
             }
+            if policy.retention_ms < policy.deadline_ms.saturating_mul(RETENTION_DEADLINES) {
+                let (service, kind) = named();
+                faults.push(CheckFault::RetentionTooShort { service, kind });
+            }
         }
     }
 }
--- a/crates/model/tests/sets.rs
+++ b/crates/model/tests/sets.rs
@@ -4,7 +4,10 @@
     hemlockspool_model::{
         check,
         delta::SetDelta,
-        objects::{BlockObject, DeclaredObject, DomainObject, RegionObject},
+        objects::{
+            BlockObject, DeclaredObject, DomainObject, KindPolicy, RegionObject, RepeatRule,
+            ServiceObject,
+        },
         set::ObjectSet,
     },
     quickcheck::{Arbitrary, Gen},
@@ -89,3 +92,23 @@
         assert_eq!(found, overlap, "seed {seed}");
     }
 }
+
+#[test]
+fn check_retention_outlasts_requests() {
+    let faults = |retention_ms| {
+        let policy = KindPolicy {
+            repeat: RepeatRule::Never,
+            deadline_ms: 5_000,
+            request_bytes: 1_000,
+            retention_ms,
+            ..KindPolicy::default()
+        };
+        let kinds = [("pay".into(), policy)].into();
+        let service = ServiceObject { name: "s".into(), kinds, lookup_ttl_ms: 1_000 };
+        let mut set = ObjectSet::default();
+        set.upsert(DeclaredObject::Service(service));
+        check::faults(&set)
+    };
+    assert!(faults(50_000).is_empty());
+    assert!(matches!(faults(49_999)[..], [check::CheckFault::RetentionTooShort { .. }]));
+}
