--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -115,6 +115,8 @@
     pub(crate) installed: Option<SnapshotImage>,
     pub(crate) effects: Vec<ConsensusEffect>,
     pub(crate) random: Pcg32,
+    /// Whether learners that have caught up get a vote without being told to.
+    pub(crate) promotes: bool,
     /// Where messages came from, for replicas that no known set has.
     contacts: BTreeMap<ReplicaId, SocketAddr>,
     pub(super) waiting: VecDeque<(u64, WaitingAction)>,
@@ -160,6 +162,7 @@
             installed: None,
             effects: Vec::new(),
             random,
+            promotes: true,
             contacts: BTreeMap::new(),
             waiting: VecDeque::new(),
             ticket: 0,
@@ -272,6 +275,16 @@
         (own_term_committed && leased && contact > Moment(0)).then_some(contact)
     }
 
+    /// Tells whether this replica leads with a quorum, or has heard from its leader, within a time.
+    pub fn is_current(&self, within: Duration, now: Moment) -> bool {
+        if self.is_leader() {
+            let own_term = self.log.term_at(self.commit) == Some(self.hard.term);
+            let contact = self.quorum_contact(now).unwrap_or_default();
+            return own_term && contact > Moment(0) && now.since(contact) < within;
+        }
+        self.leader.is_some() && now.since(self.leader_heard) < within
+    }
+
     /// Moves time on: elections, heartbeats, and stepping down without a quorum.
     pub fn tick(&mut self, now: Moment) -> Vec<ConsensusEffect> {
         if self.is_leader() {
--- a/crates/core/src/consensus/members.rs
+++ b/crates/core/src/consensus/members.rs
@@ -48,16 +48,8 @@
     ///
     /// [`MemberRefusal::NotEmpty`] when it belongs to one already.
     pub fn init(&mut self, member: ReplicaMember, now: Moment) -> Result<(), MemberRefusal> {
-        if !self.is_blank() || self.hard.term != 0 {
-            return Err(MemberRefusal::NotEmpty);
-        }
         let members = MemberSet::from([(self.me, ReplicaMember { voter: true, ..member })]);
-        let position = super::LogPosition { term: 1, index: 1 };
-        self.hard.term = 1;
-        let entry = super::LogEntry { position, payload: LogPayload::Members(members) };
-        self.append_local(vec![entry.clone()]);
-        let hard = Some(self.hard);
-        self.persist(super::PersistBatch { hard, entries: vec![entry], ..Default::default() });
+        self.found(members, now)?;
         self.election_due = now;
         Ok(())
     }
@@ -98,7 +90,7 @@
         self.change_members(members, now)
     }
 
-    fn changeable(&self) -> Result<(), MemberRefusal> {
+    pub(crate) fn changeable(&self) -> Result<(), MemberRefusal> {
         if !self.is_leader() {
             return Err(MemberRefusal::NotLeader);
         }
@@ -121,7 +113,7 @@
         Ok(())
     }
 
-    fn answers(&self, id: ReplicaId, now: Moment) -> bool {
+    pub(crate) fn answers(&self, id: ReplicaId, now: Moment) -> bool {
         let echo = self.progress.get(&id).and_then(|progress| progress.echo);
         let recent = |at: Moment| now.since(at) < super::types::ELECTION_MIN;
         id == self.me || echo.is_some_and(recent)
@@ -129,19 +121,65 @@
 
     /// Gives a vote to a learner that has all that is committed.
     pub(crate) fn promote_learners(&mut self, now: Moment) {
-        if self.changeable().is_err() || self.voters().count() >= VOTERS_MAX {
+        if !self.promotes || self.voters().count() >= VOTERS_MAX {
             return;
         }
+        let mut learners = self.members().iter().filter(|(_, member)| !member.voter);
+        let ready = learners.find(|(id, _)| self.is_caught_up(**id, now)).map(|(id, _)| *id);
+        if let Some(id) = ready {
+            // A change under way is no fault: the next answer of the learner asks again.
+            let _ = self.set_voter(id, true, now);
+        }
+    }
+
+    /// Tells whether a replica answers and has all that is committed.
+    pub(crate) fn is_caught_up(&self, id: ReplicaId, now: Moment) -> bool {
+        self.answers(id, now) && self.matched(id).is_some_and(|at| at >= self.commit)
+    }
+
+    /// Gives a replica a vote, or takes it.
+    ///
+    /// # Errors
+    ///
+    /// See [`MemberRefusal`].
+    pub(crate) fn set_voter(
+        &mut self,
+        id: ReplicaId,
+        voter: bool,
+        now: Moment,
+    ) -> Result<(), MemberRefusal> {
+        self.changeable()?;
         let mut members = self.members().clone();
-        let ready = |id: &ReplicaId| {
-            self.answers(*id, now) && self.matched(*id).is_some_and(|at| at >= self.commit)
-        };
-        let learner = members.iter_mut().find(|(id, member)| !member.voter && ready(id));
-        let Some((_, member)) = learner else { return };
-        member.voter = true;
+        let member = members.get_mut(&id).ok_or(MemberRefusal::NotKnown)?;
+        member.voter = voter;
         let name = member.name.clone();
-        self.note(NodeNote::ReplicaPromoted { name });
-        self.propose(LogPayload::Members(members), now);
+        self.change_members(members, now)?;
+        let note = |name| match voter {
+            true => NodeNote::ReplicaPromoted { name },
+            false => NodeNote::ReplicaDemoted { name },
+        };
+        self.note(note(name));
+        Ok(())
+    }
+
+    /// Starts a deployment whose first voters are known to all of them beforehand. Each of them
+    /// writes the same first entry, so that their logs agree before they have spoken.
+    ///
+    /// # Errors
+    ///
+    /// [`MemberRefusal::NotEmpty`] when this replica belongs to a deployment already.
+    pub(crate) fn found(&mut self, members: MemberSet, now: Moment) -> Result<(), MemberRefusal> {
+        if !self.is_blank() || self.hard.term != 0 {
+            return Err(MemberRefusal::NotEmpty);
+        }
+        let position = super::LogPosition { term: 1, index: 1 };
+        self.hard.term = 1;
+        let entry = super::LogEntry { position, payload: LogPayload::Members(members) };
+        self.append_local(vec![entry.clone()]);
+        let hard = Some(self.hard);
+        self.persist(super::PersistBatch { hard, entries: vec![entry], ..Default::default() });
+        self.postpone_election(now);
+        Ok(())
     }
 
     pub(crate) fn resign_when_removed(&mut self, now: Moment) {
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -8,6 +8,8 @@
 use {
     crate::{
         consensus::{GroupId, PersistBatch},
+        fleet::notes::FleetNote,
+        ledger::TableAnswer,
         notes::NodeNote,
         requests::{RequestId, RequestOrder},
         wire::PeerMessage,
@@ -30,6 +32,12 @@
     Publish(PublishAnswer),
     /// To a change of the replicas.
     Replica(ReplicaAnswer),
+    /// To an order about the route table or the evacuations.
+    Table(TableAnswer),
+    /// To a question for the route table: its text, confirmed by a quorum since it was asked.
+    TableText(String),
+    /// No quorum answered in time; an order may still come into force.
+    Unclear,
 }
 
 /// A write to the log of one group.
@@ -44,7 +52,7 @@
 }
 
 /// Something to be done.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum NodeEffect {
     /// Send a message; it may get lost.
     Send {
@@ -76,8 +84,21 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// Ask a target how it is, at a path of its own.
+    ProbePath {
+        /// Which.
+        target: TargetName,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The path.
+        path: String,
+    },
+    /// Read the platform's list of targets.
+    ReadList,
     /// Write a line to the log.
     Note(NodeNote),
+    /// Write a line of a fleet's log.
+    FleetNote(FleetNote),
     /// Another version is in force; what is derived from it must be made anew. The reducer handles
     /// this one itself.
     ConfigChanged,
--- /dev/null
+++ b/crates/core/src/fleet/census.rs
@@ -0,0 +1,115 @@
+/*!
+Which entries live, as a replica hears them.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        fleet::messages::{EntryPulse, FleetCensus, InstancePlace},
+        util::stable_hash,
+    },
+    hemlockspool_model::names::{DomainName, RegionName, ServiceName},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// For how long an entry that isn't heard of counts as living: three of its pulses.
+const ENTRY_LEASE: Duration = Duration::from_millis(3_000);
+/// For how long an entry counts as following this replica after it said so.
+const FOLLOW_LEASE: Duration = Duration::from_millis(1_500);
+/// Entries of the caller's failure domain from which on no others are named: with fewer, callers
+/// would have nowhere to go while one of them is down.
+const NEAR_ENTRIES_ENOUGH: usize = 2;
+
+/// What was last heard of an entry.
+#[derive(Clone, Debug)]
+struct EntryRecord {
+    pulse: EntryPulse,
+    heard: Moment,
+    followed: Option<Moment>,
+}
+
+/// The entries, by where they listen for peers.
+#[derive(Clone, Debug, Default)]
+pub struct EntryBook {
+    entries: BTreeMap<SocketAddr, EntryRecord>,
+}
+
+impl EntryBook {
+    pub(crate) fn hear(&mut self, peer: SocketAddr, pulse: EntryPulse, now: Moment) {
+        let old = self.entries.get(&peer);
+        let followed = if pulse.follows { Some(now) } else { old.and_then(|old| old.followed) };
+        self.entries.insert(peer, EntryRecord { pulse, heard: now, followed });
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment) {
+        self.entries.retain(|_, record| now.since(record.heard) < ENTRY_LEASE);
+    }
+
+    /// Returns the entries that follow this replica, with what they have.
+    pub(crate) fn followers(&self, now: Moment) -> impl Iterator<Item = (SocketAddr, &EntryPulse)> {
+        let follows = move |record: &&EntryRecord| {
+            record.followed.is_some_and(|at| now.since(at) < FOLLOW_LEASE)
+        };
+        let records = self.entries.iter().filter(move |(_, record)| follows(record));
+        records.map(|(peer, record)| (*peer, &record.pulse))
+    }
+
+    /// Notes what a follower will have once a message has reached it, so that it isn't sent twice.
+    pub(crate) fn sent<F>(&mut self, peer: SocketAddr, note: F)
+    where
+        F: FnOnce(&mut EntryPulse),
+    {
+        if let Some(record) = self.entries.get_mut(&peer) {
+            note(&mut record.pulse);
+        }
+    }
+
+    /// Returns the census.
+    pub(crate) fn census(&self) -> FleetCensus {
+        let serving = self.entries.iter().filter(|(_, record)| record.pulse.ready);
+        let entries: BTreeMap<SocketAddr, InstancePlace> =
+            serving.map(|(peer, record)| (*peer, record.pulse.place.clone())).collect();
+        let text = format!("{entries:?}");
+        FleetCensus { mark: stable_hash(text.as_bytes()), entries }
+    }
+
+    /// Returns the demand of each region.
+    pub(crate) fn demand(&self) -> BTreeMap<RegionName, BTreeMap<ServiceName, f32>> {
+        let mut regions: BTreeMap<RegionName, BTreeMap<ServiceName, f32>> = BTreeMap::new();
+        for record in self.entries.values() {
+            let region = regions.entry(record.pulse.place.region.clone()).or_default();
+            for (service, slots) in &record.pulse.demand {
+                *region.entry(service.clone()).or_default() += slots;
+            }
+        }
+        regions
+    }
+
+    /// Returns where a caller connects: entries of its failure domain, of its region when there
+    /// are too few, and anywhere that is allowed when there are none.
+    pub(crate) fn fronts(
+        &self,
+        region: &RegionName,
+        domain: &DomainName,
+        homes: &[RegionName],
+    ) -> Vec<SocketAddr> {
+        let near = self.fronts_where(|place| place.domain == *domain);
+        if near.len() >= NEAR_ENTRIES_ENOUGH {
+            return near;
+        }
+        let regional = self.fronts_where(|place| place.region == *region);
+        if !regional.is_empty() {
+            return regional;
+        }
+        self.fronts_where(|place| homes.is_empty() || homes.contains(&place.region))
+    }
+
+    fn fronts_where<F>(&self, fits: F) -> Vec<SocketAddr>
+    where
+        F: Fn(&InstancePlace) -> bool,
+    {
+        let serving = self.entries.values().filter(|record| record.pulse.ready);
+        let fitting = serving.filter(|record| fits(&record.pulse.place));
+        fitting.map(|record| record.pulse.front).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/control.rs
@@ -0,0 +1,543 @@
+/*!
+The state of a replica in a fleet: the log, the list of targets, and the entries that follow it.
+
+A replica serves operators and callers' look-ups, reads the platform's list when it leads, and sends
+what changed to the entries that follow it. Any replica takes an operator's order and passes it to
+the leader. A read of the table goes through the log as an order that changes nothing, so it is
+confirmed by a quorum after it was asked, whatever any clock says.
+*/
+
+use {
+    crate::{
+        clock::{ClockReading, Moment},
+        consensus::{GroupId, ReplicaId, ReplicaMember},
+        effect::{NodeEffect, OperatorReply, ReplyTicket},
+        fleet::{
+            census::EntryBook,
+            messages::{
+                EntryPulse, FleetMessage, InstancePlace, PublishedState, PulseReply, ReplicaPulse,
+            },
+            notes::FleetNote,
+            roster::{RosterBook, RosterUpdate, TargetList},
+            routes::RouteIndex,
+            steward::ReplicaSteward,
+        },
+        identity::NodeIdentity,
+        ledger::{LedgerCommand, LedgerOutcome, TableAnswer, TableOrder},
+        replica::ReplicaNode,
+        submit::{EndedCommand, SubmitBook, SubmitPurpose},
+        util::stable_hash,
+        wire::{PeerEnvelope, PeerMessage, PeerSender},
+    },
+    hemlockspool_model::{
+        names::{DomainName, RegionName},
+        table::RouteTable,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// How long an order may take before its sender is told that its fate is unclear: callers move on
+/// to another replica after a second.
+const ORDER_PATIENCE: Duration = Duration::from_millis(950);
+/// For how long a replica that heard from the leader counts as current: several heartbeats.
+const CURRENT_FOR: Duration = Duration::from_millis(1_000);
+/// The time between two readings of the list by the leader, if the platform allows it.
+const LIST_EVERY: Duration = Duration::from_millis(500);
+/// From which age of the list on a replica that doesn't lead reads it.
+const LIST_STALE: Duration = Duration::from_millis(1_200);
+/// The share of the platform's call rate that one reader uses, so that a second reader fits.
+const LIST_RATE_SHARE: f64 = 0.4;
+/// How long a reading may take before another is tried.
+const LIST_PATIENCE: Duration = Duration::from_secs(3);
+/// The time between pulses to other replicas.
+const PULSE_EVERY: Duration = Duration::from_millis(500);
+/// How often a replica that belongs to no group asks to be taken in.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+/// For how long a replica outside of the group hears nothing before it asks again.
+const OUTSIDE_SILENT: Duration = Duration::from_secs(3);
+
+/// Something that happens to a replica.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// Time passes.
+    Tick,
+    /// A message arrives.
+    Peer(Box<PeerEnvelope>),
+    /// A write is synced.
+    Persisted {
+        /// The write.
+        ticket: u64,
+    },
+    /// An operator gives an order.
+    Order {
+        /// Where the answer goes.
+        ticket: ReplyTicket,
+        /// The order.
+        order: TableOrder,
+    },
+    /// The platform's list was read, in a number of calls; none when it couldn't be.
+    ListRead {
+        /// The list.
+        list: Option<TargetList>,
+        /// The calls that it took.
+        calls: u32,
+    },
+    /// The settings name other first replicas.
+    Seeds(Vec<SocketAddr>),
+    /// A planned stop begins.
+    Stop,
+}
+
+/// What a replica is made of.
+#[derive(Debug)]
+pub struct ControlParts {
+    /// Who it is.
+    pub identity: NodeIdentity,
+    /// Where it is.
+    pub place: InstancePlace,
+    /// Where the first replicas listen for peers.
+    pub seeds: Vec<SocketAddr>,
+    /// Its part of the log.
+    pub replica: ReplicaNode,
+    /// Calls a second that the platform's list takes.
+    pub list_calls_per_s: f64,
+}
+
+/// When the list is read.
+#[derive(Clone, Copy, Debug, Default)]
+struct ListSchedule {
+    due: Moment,
+    asked: Option<Moment>,
+    calls: u32,
+}
+
+/// The state of a replica.
+#[derive(Debug)]
+pub struct ControlState {
+    identity: NodeIdentity,
+    place: InstancePlace,
+    seeds: Vec<SocketAddr>,
+    replica: ReplicaNode,
+    steward: ReplicaSteward,
+    submits: SubmitBook,
+    entries: EntryBook,
+    roster: RosterBook,
+    list: ListSchedule,
+    list_calls_per_s: f64,
+    /// Reads that wait until this replica has applied a change.
+    reads: BTreeMap<ReplyTicket, u64>,
+    asked_reads: BTreeSet<ReplyTicket>,
+    read_give_up: BTreeMap<ReplyTicket, Moment>,
+    index: RouteIndex,
+    index_version: u64,
+    pulse_due: Moment,
+    join_due: Moment,
+    stopping: bool,
+}
+
+/// Returns the life of a data folder that founds a deployment: known to all founders beforehand.
+pub fn founder_id(peer: SocketAddr) -> ReplicaId {
+    ReplicaId(stable_hash(format!("founder {peer}").as_bytes()))
+}
+
+impl ControlState {
+    /// Makes the state of a replica that starts.
+    pub fn new(parts: ControlParts, now: Moment) -> Self {
+        let ControlParts { identity, place, seeds, mut replica, list_calls_per_s } = parts;
+        replica.keep_votes_manual();
+        Self {
+            submits: SubmitBook::new(identity.incarnation),
+            identity,
+            place,
+            seeds,
+            replica,
+            steward: ReplicaSteward::default(),
+            entries: EntryBook::default(),
+            roster: RosterBook::default(),
+            list: ListSchedule { due: now, asked: None, calls: 1 },
+            list_calls_per_s,
+            reads: BTreeMap::new(),
+            asked_reads: BTreeSet::new(),
+            read_give_up: BTreeMap::new(),
+            index: RouteIndex::default(),
+            index_version: 0,
+            pulse_due: now,
+            join_due: now,
+            stopping: false,
+        }
+    }
+
+    /// Founds the deployment with the seeds as its first voters, of which this replica is one.
+    pub fn found(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let member = |peer: &SocketAddr| {
+            let name = ReplicaSteward::member_name(*peer);
+            (founder_id(*peer), ReplicaMember { name, peer: *peer, voter: true })
+        };
+        let members = self.seeds.iter().map(member).collect();
+        self.replica.found(members, now)
+    }
+
+    /// Returns who this instance is.
+    pub fn identity(&self) -> &NodeIdentity {
+        &self.identity
+    }
+
+    /// Returns the replica.
+    pub fn replica(&self) -> &ReplicaNode {
+        &self.replica
+    }
+
+    /// Returns the list of targets.
+    pub fn roster(&self) -> &RosterBook {
+        &self.roster
+    }
+
+    /// Tells whether the replica hears from a leader that a quorum stands by.
+    pub fn is_current(&self, now: Moment) -> bool {
+        self.replica.group().is_current(CURRENT_FOR, now)
+    }
+
+    /// Returns where callers of a host connect; none while no entry is known.
+    pub fn fronts(&self, host: &str, region: &RegionName, domain: &DomainName) -> Vec<SocketAddr> {
+        self.entries.fronts(region, domain, self.index.homes_of(host))
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn reduce(&mut self, event: ControlEvent, clock: ClockReading) -> Vec<NodeEffect> {
+        let now = clock.now;
+        let mut effects = match event {
+            ControlEvent::Tick => self.tick(clock),
+            ControlEvent::Peer(envelope) => self.receive(*envelope, clock),
+            ControlEvent::Persisted { ticket } => self.replica.persisted(ticket, now),
+            ControlEvent::Order { ticket, order } => self.order(ticket, order, now),
+            ControlEvent::ListRead { list, calls } => self.list_read(list, calls, now),
+            ControlEvent::Seeds(seeds) => {
+                self.seeds = seeds;
+                Vec::new()
+            }
+            ControlEvent::Stop => {
+                self.stopping = true;
+                self.replica.hand_over()
+            }
+        };
+        self.answer_reads(&mut effects, now);
+        self.update_index();
+        self.feed_followers(&mut effects, now);
+        effects
+    }
+
+    fn tick(&mut self, clock: ClockReading) -> Vec<NodeEffect> {
+        let now = clock.now;
+        let mut effects = self.replica.tick(&[], clock);
+        if self.replica.group().is_leader() {
+            self.replica.tend(&mut self.steward, now);
+            effects.extend(self.replica.drain_effects());
+        } else {
+            self.steward.step_down();
+        }
+        self.entries.tick(now);
+        let peers = self.order_peers();
+        let (ended, sent) = self.submits.tick(&peers, now);
+        effects.extend(sent);
+        for command in ended {
+            effects.extend(self.command_ended(command));
+        }
+        effects.extend(self.ask_join(now));
+        effects.extend(self.pulse(now));
+        effects.extend(self.read_list(now));
+        effects
+    }
+
+    /// Returns the replicas to send an order to, the leader first.
+    fn order_peers(&self) -> Vec<SocketAddr> {
+        let group = self.replica.group();
+        let mut peers: Vec<SocketAddr> = group.leader_peer().into_iter().collect();
+        let members = group.members().values().filter(|member| member.voter);
+        let others = members.map(|member| member.peer).chain(self.seeds.iter().copied());
+        for peer in others {
+            if !peers.contains(&peer) {
+                peers.push(peer);
+            }
+        }
+        peers
+    }
+
+    fn replica_peers(&self) -> BTreeSet<SocketAddr> {
+        let members = self.replica.group().members().values().map(|member| member.peer);
+        members.chain(self.seeds.iter().copied()).collect()
+    }
+
+    fn ask_join(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let group = self.replica.group();
+        let member = group.members().contains_key(&group.me());
+        let outside = group.is_blank() || !member;
+        let silent = !group.is_current(OUTSIDE_SILENT, now);
+        if now < self.join_due || !(outside || silent) {
+            return Vec::new();
+        }
+        self.join_due = now.after(JOIN_EVERY);
+        let (id, peer, place) = (group.me(), self.identity.peer, self.place.clone());
+        let message = FleetMessage::Join { id, peer, place };
+        self.tell_replicas(&message)
+    }
+
+    fn tell_replicas(&self, message: &FleetMessage) -> Vec<NodeEffect> {
+        let peers = self.replica_peers().into_iter().filter(|peer| *peer != self.identity.peer);
+        peers.map(|peer| fleet_send(peer, message.clone())).collect()
+    }
+
+    fn pulse(&mut self, now: Moment) -> Vec<NodeEffect> {
+        if now < self.pulse_due {
+            return Vec::new();
+        }
+        self.pulse_due = now.after(PULSE_EVERY);
+        let roster_age_ms = self.roster_age_ms(now);
+        let (place, roster) = (self.place.clone(), self.roster.mark());
+        self.tell_replicas(&FleetMessage::ReplicaPulse(ReplicaPulse {
+            place,
+            roster,
+            roster_age_ms,
+        }))
+    }
+
+    fn roster_age_ms(&self, now: Moment) -> u64 {
+        self.roster.age(now).map_or(u64::MAX / 2_000, |age| age.as_millis() as u64)
+    }
+
+    /// Asks for a reading when it is this replica's turn.
+    fn read_list(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let under_way = self.list.asked.is_some_and(|at| now.since(at) < LIST_PATIENCE);
+        if under_way || now < self.list.due {
+            return Vec::new();
+        }
+        let leads = self.replica.group().is_leader() && self.is_current(now);
+        // Replicas that don't lead stand in one after another.
+        let turn = Duration::from_millis(stable_hash(self.identity.name.as_str().as_bytes()) % 600);
+        let stale = self.roster.age(now).is_none_or(|age| age > LIST_STALE + turn);
+        if !leads && !stale {
+            return Vec::new();
+        }
+        let paced = f64::from(self.list.calls) / (self.list_calls_per_s * LIST_RATE_SHARE).max(0.1);
+        let every = LIST_EVERY.max(Duration::from_secs_f64(paced));
+        self.list.due = now.after(if leads { every } else { 2 * every });
+        self.list.asked = Some(now);
+        vec![NodeEffect::ReadList]
+    }
+
+    fn list_read(&mut self, list: Option<TargetList>, calls: u32, now: Moment) -> Vec<NodeEffect> {
+        self.list.asked = None;
+        let Some(list) = list else {
+            return vec![NodeEffect::FleetNote(FleetNote::ListUnread {
+                age_ms: self.roster_age_ms(now),
+            })];
+        };
+        self.list.calls = calls.max(1);
+        let before = self.roster.mark();
+        if !self.roster.read(self.identity.incarnation, list, now) {
+            return Vec::new();
+        }
+        let mut effects = vec![NodeEffect::FleetNote(FleetNote::ListChanged {
+            targets: self.roster.targets().len(),
+            number: self.roster.mark().number,
+        })];
+        if let Some(update) = self.roster.update_from(before, now) {
+            effects.extend(self.tell_replicas(&FleetMessage::Roster(update)));
+        }
+        effects
+    }
+
+    fn receive(&mut self, envelope: PeerEnvelope, clock: ClockReading) -> Vec<NodeEffect> {
+        let PeerEnvelope { deployment, sender, message, .. } = envelope;
+        if deployment != self.identity.deployment {
+            return Vec::new();
+        }
+        let now = clock.now;
+        match message {
+            PeerMessage::Consensus { from, to, message, .. } => {
+                self.replica.receive(from, &sender, to, message, now)
+            }
+            PeerMessage::Submit { id, command, .. } => {
+                self.replica.submit(&sender, id, command, clock)
+            }
+            PeerMessage::Submitted { id, answer } => {
+                let peers = self.order_peers();
+                let (ended, effects) = self.submits.answered(id, answer, sender.peer, &peers);
+                let ended = ended.map(|command| self.command_ended(command));
+                ended.into_iter().flatten().chain(effects).collect()
+            }
+            PeerMessage::Fleet(message) => self.receive_fleet(&sender, *message, now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn receive_fleet(
+        &mut self,
+        sender: &PeerSender,
+        message: FleetMessage,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        match message {
+            FleetMessage::EntryPulse(pulse) => self.hear_entry(sender.peer, pulse, now),
+            FleetMessage::ReplicaPulse(pulse) => self.hear_replica(sender.peer, &pulse, now),
+            FleetMessage::Roster(update) => {
+                self.take_roster(update, now);
+                Vec::new()
+            }
+            FleetMessage::Join { id, peer, place } => self.hear_join(id, peer, place, now),
+            FleetMessage::PulseReply(_) | FleetMessage::Published(_) => Vec::new(),
+        }
+    }
+
+    fn hear_join(
+        &mut self,
+        id: ReplicaId,
+        peer: SocketAddr,
+        place: InstancePlace,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        let group = self.replica.group();
+        if group.is_leader() {
+            self.steward.hear_join(id, peer, place, now);
+            return Vec::new();
+        }
+        let leader = group.leader_peer().filter(|leader| *leader != peer);
+        let known = group.is_current(CURRENT_FOR, now);
+        let message = FleetMessage::Join { id, peer, place };
+        leader.filter(|_| known).map(|leader| fleet_send(leader, message)).into_iter().collect()
+    }
+
+    fn hear_replica(
+        &mut self,
+        peer: SocketAddr,
+        pulse: &ReplicaPulse,
+        now: Moment,
+    ) -> Vec<NodeEffect> {
+        self.steward.hear_place(peer, &pulse.place);
+        self.roster.confirm(pulse.roster, pulse.roster_age_ms, now);
+        let leads = self.replica.group().is_leader();
+        let fresher = leads
+            || self.roster_age_ms(now) + PULSE_EVERY.as_millis() as u64 <= pulse.roster_age_ms;
+        let update = self.roster.update_from(pulse.roster, now).filter(|_| fresher);
+        update.map(|update| fleet_send(peer, FleetMessage::Roster(update))).into_iter().collect()
+    }
+
+    fn take_roster(&mut self, update: RosterUpdate, now: Moment) {
+        // A whole list that is older than what is held would bring targets back that have gone.
+        let older = update.from.is_none() && update.age_ms > self.roster_age_ms(now) + 1_000;
+        if !older {
+            self.roster.take(update, now);
+        }
+    }
+
+    fn hear_entry(&mut self, peer: SocketAddr, pulse: EntryPulse, now: Moment) -> Vec<NodeEffect> {
+        let (follows, echo, seen) = (pulse.follows, pulse.sent_at, pulse.census);
+        self.entries.hear(peer, pulse, now);
+        if !follows {
+            return Vec::new();
+        }
+        let census = self.entries.census();
+        let reply = PulseReply {
+            echo,
+            current: self.is_current(now) && !self.stopping,
+            roster_age_ms: self.roster_age_ms(now),
+            replicas: self.replica_peers().into_iter().collect(),
+            census: (census.mark != seen).then_some(census),
+            demand: self.entries.demand(),
+        };
+        vec![fleet_send(peer, FleetMessage::PulseReply(reply))]
+    }
+
+    /// Sends followers what they lack.
+    fn feed_followers(&mut self, effects: &mut Vec<NodeEffect>, now: Moment) {
+        let tables = self.replica.ledger().tables();
+        let (change, version, mark) = (tables.change(), tables.version(), self.roster.mark());
+        let behind = |pulse: &EntryPulse| pulse.change < change || pulse.roster != mark;
+        let late: Vec<(SocketAddr, EntryPulse)> = (self.entries.followers(now))
+            .filter(|(_, pulse)| behind(pulse))
+            .map(|(peer, pulse)| (peer, pulse.clone()))
+            .collect();
+        for (peer, pulse) in late {
+            if pulse.change < change {
+                let tables = self.replica.ledger().tables();
+                let text = Some(tables.text().to_owned());
+                let evacuated = tables.evacuated().clone();
+                let state = PublishedState { change, version, text, evacuated };
+                effects.push(fleet_send(peer, FleetMessage::Published(state)));
+            }
+            if let Some(update) = self.roster.update_from(pulse.roster, now) {
+                effects.push(fleet_send(peer, FleetMessage::Roster(update)));
+            }
+            self.entries.sent(peer, |pulse| {
+                pulse.change = change;
+                pulse.roster = mark;
+            });
+        }
+    }
+
+    fn update_index(&mut self) {
+        let tables = self.replica.ledger().tables();
+        if tables.version() == self.index_version {
+            return;
+        }
+        self.index_version = tables.version();
+        // Only a table that was read in full before gets into the log.
+        if let Ok(table) = RouteTable::parse(tables.text()) {
+            self.index = RouteIndex::new(&table);
+        }
+    }
+
+    fn order(&mut self, ticket: ReplyTicket, order: TableOrder, now: Moment) -> Vec<NodeEffect> {
+        if order == TableOrder::Confirm {
+            self.asked_reads.insert(ticket);
+        }
+        let peers = self.order_peers();
+        let command = LedgerCommand::Table(order);
+        let purpose = SubmitPurpose::Operator(ticket);
+        self.submits.submit(command, purpose, ORDER_PATIENCE, &peers, now)
+    }
+
+    fn command_ended(&mut self, command: EndedCommand) -> Vec<NodeEffect> {
+        let SubmitPurpose::Operator(ticket) = command.purpose else {
+            return Vec::new();
+        };
+        let is_read = self.asked_reads.remove(&ticket);
+        let reply = match command.outcome {
+            Some(LedgerOutcome::Tabled(TableAnswer::Accepted { change })) if is_read => {
+                self.reads.insert(ticket, change);
+                return Vec::new();
+            }
+            Some(LedgerOutcome::Tabled(answer)) => OperatorReply::Table(answer),
+            _ => OperatorReply::Unclear,
+        };
+        vec![NodeEffect::Reply { ticket, reply }]
+    }
+
+    /// Answers the reads whose change has been applied here.
+    fn answer_reads(&mut self, effects: &mut Vec<NodeEffect>, now: Moment) {
+        let tables = self.replica.ledger().tables();
+        for (ticket, change) in std::mem::take(&mut self.reads) {
+            let give_up = *self.read_give_up.entry(ticket).or_insert(now.after(ORDER_PATIENCE));
+            let reply = if tables.change() >= change {
+                OperatorReply::TableText(tables.text().to_owned())
+            } else if now >= give_up {
+                OperatorReply::Unclear
+            } else {
+                self.reads.insert(ticket, change);
+                continue;
+            };
+            self.read_give_up.remove(&ticket);
+            effects.push(NodeEffect::Reply { ticket, reply });
+        }
+    }
+}
+
+pub(crate) fn fleet_send(to: SocketAddr, message: FleetMessage) -> NodeEffect {
+    NodeEffect::send(to, PeerMessage::Fleet(Box::new(message)))
+}
+
+/// The group that holds what a fleet's operators publish.
+pub const FLEET_GROUP: GroupId = GroupId(0);
--- /dev/null
+++ b/crates/core/src/fleet/entry.rs
@@ -0,0 +1,414 @@
+/*!
+The state of an entry in a fleet: the replica that it follows, and the desk for requests.
+
+An entry tells every replica that it lives, and follows one of them for what is published and for the
+list of targets. What it holds never goes back: a published state counts only when its change is
+higher. An entry that no current replica answers goes on with what it has and reads the platform's
+list by itself, rarely.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        effect::NodeEffect,
+        fleet::{
+            control::fleet_send,
+            messages::{EntryPulse, FleetMessage, InstancePlace, PublishedState, PulseReply},
+            notes::FleetNote,
+            roster::{RosterBook, RosterUpdate, TargetList},
+        },
+        identity::NodeIdentity,
+        traffic::desk::{DeskSettings, TrafficDesk},
+        util::stable_hash,
+        wire::{PeerEnvelope, PeerMessage},
+    },
+    hemlockspool_model::{
+        names::{ServiceName, TargetName},
+        table::RouteTable,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// The time between pulses to the replica that is followed.
+const FOLLOW_EVERY: Duration = Duration::from_millis(250);
+/// The time between pulses to the others.
+const PULSE_EVERY: Duration = Duration::from_millis(1_000);
+/// For how long a followed replica may stay silent, or not current, before another is tried.
+const REPLICA_PATIENCE: Duration = Duration::from_millis(700);
+/// From which age of the list on an entry reads it by itself.
+const LIST_STALE: Duration = Duration::from_millis(2_500);
+/// The time between an entry's own readings; the fleet's entries share the platform's call rate.
+const LIST_EVERY: Duration = Duration::from_millis(2_000);
+/// The most by which an entry's own readings are put off, so that they don't come together.
+const LIST_SPREAD_MS: u64 = 1_500;
+/// For how long no current replica answers before it is logged.
+const LOST_AFTER: Duration = Duration::from_millis(2_000);
+/// The time between the desk's plans.
+const PLAN_EVERY: Duration = Duration::from_millis(250);
+
+/// Something that happens to an entry, apart from requests.
+#[derive(Clone, Debug)]
+pub enum EntryEvent {
+    /// Time passes.
+    Tick,
+    /// A message arrives.
+    Peer(Box<PeerEnvelope>),
+    /// The platform's list was read; none when it couldn't be.
+    ListRead(Option<TargetList>),
+    /// A target answered a probe, with how long it stays cold, or didn't.
+    Probed {
+        /// The target.
+        target: TargetName,
+        /// For how much longer it is cold.
+        cold: Option<Duration>,
+    },
+    /// The settings name other first replicas.
+    Seeds(Vec<SocketAddr>),
+    /// A planned stop begins.
+    Stop,
+}
+
+/// What an entry is made of.
+#[derive(Clone, Debug)]
+pub struct EntryParts {
+    /// Who it is.
+    pub identity: NodeIdentity,
+    /// Where it is.
+    pub place: InstancePlace,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where the first replicas listen for peers.
+    pub seeds: Vec<SocketAddr>,
+    /// The settings of its desk.
+    pub desk: DeskSettings,
+}
+
+/// The replica that is followed.
+#[derive(Clone, Debug)]
+struct FollowedReplica {
+    peer: SocketAddr,
+    since: Moment,
+    /// When it last answered as current.
+    current_at: Option<Moment>,
+}
+
+/// The state of an entry.
+#[derive(Debug)]
+pub struct EntryState {
+    identity: NodeIdentity,
+    place: InstancePlace,
+    front: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    replicas: BTreeSet<SocketAddr>,
+    followed: Option<FollowedReplica>,
+    turn: u64,
+    change: u64,
+    table_version: u64,
+    census: u64,
+    roster: RosterBook,
+    /// Whether a current replica has confirmed what is held since this process started.
+    confirmed: bool,
+    current_at: Option<Moment>,
+    started: Moment,
+    lost_noted: bool,
+    follow_due: Moment,
+    pulse_due: Moment,
+    list_due: Moment,
+    plan_due: Moment,
+    stopping: bool,
+    spill_noted: BTreeMap<ServiceName, u32>,
+    /// The desk for requests.
+    pub desk: TrafficDesk,
+}
+
+impl EntryState {
+    /// Makes the state of an entry that starts.
+    pub fn new(parts: EntryParts, now: Moment) -> Self {
+        let EntryParts { identity, place, front, seeds, desk } = parts;
+        let turn = stable_hash(identity.name.as_str().as_bytes());
+        Self {
+            place,
+            front,
+            replicas: seeds.iter().copied().collect(),
+            seeds,
+            followed: None,
+            turn,
+            change: 0,
+            table_version: 0,
+            census: 0,
+            roster: RosterBook::default(),
+            confirmed: false,
+            current_at: None,
+            started: now,
+            lost_noted: false,
+            follow_due: now,
+            pulse_due: now,
+            list_due: now.after(LIST_STALE),
+            plan_due: now,
+            stopping: false,
+            spill_noted: BTreeMap::new(),
+            desk: TrafficDesk::new(desk, now),
+            identity,
+        }
+    }
+
+    /// Returns who this instance is.
+    pub fn identity(&self) -> &NodeIdentity {
+        &self.identity
+    }
+
+    /// Tells whether this entry takes requests.
+    pub fn is_ready(&self) -> bool {
+        let table = self.desk.version().is_some();
+        !self.stopping && self.confirmed && table && self.desk.has_targets()
+    }
+
+    /// Tells whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Returns the count of changes of the published state that is held.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn reduce(&mut self, event: EntryEvent, now: Moment) -> Vec<NodeEffect> {
+        let mut effects = match event {
+            EntryEvent::Tick => self.tick(now),
+            EntryEvent::Peer(envelope) => self.receive(*envelope, now),
+            EntryEvent::ListRead(list) => self.list_read(list, now),
+            EntryEvent::Probed { target, cold } => {
+                self.desk.probed(&target, cold, now);
+                Vec::new()
+            }
+            EntryEvent::Seeds(seeds) => {
+                self.seeds = seeds;
+                Vec::new()
+            }
+            EntryEvent::Stop => {
+                self.stopping = true;
+                self.pulse_due = now;
+                self.follow_due = now;
+                self.tick(now)
+            }
+        };
+        effects.extend(self.desk.take_notes().into_iter().map(NodeEffect::FleetNote));
+        effects
+    }
+
+    /// Lets no more requests in.
+    pub fn close_desk(&mut self) {
+        self.desk.stop();
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let mut effects = self.choose_replica(now);
+        effects.extend(self.pulse(now));
+        effects.extend(self.read_list(now));
+        if now >= self.plan_due {
+            self.plan_due = now.after(PLAN_EVERY);
+            let wishes = self.desk.tick(now);
+            effects.extend(wishes.into_iter().filter_map(|wish| {
+                let (address, path) = self.desk.probe_of(&wish.target)?;
+                Some(NodeEffect::ProbePath { target: wish.target, address, path })
+            }));
+            self.note_spill(&mut effects);
+        }
+        effects
+    }
+
+    fn note_spill(&mut self, effects: &mut Vec<NodeEffect>) {
+        let shares = self.desk.spill_shares();
+        for (service, percent) in &shares {
+            let before = self.spill_noted.get(service).copied().unwrap_or(0);
+            if percent.abs_diff(before) >= 5 {
+                self.spill_noted.insert(service.clone(), *percent);
+                let (service, percent) = (service.clone(), *percent);
+                let region = self.place.region.clone();
+                effects.push(NodeEffect::FleetNote(FleetNote::SpillChanged {
+                    service,
+                    percent,
+                    region,
+                }));
+            }
+        }
+    }
+
+    /// Follows another replica when the one that is followed doesn't answer as current.
+    fn choose_replica(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let mut effects = Vec::new();
+        let last = self.current_at.unwrap_or(self.started);
+        if !self.lost_noted && now.since(last) > LOST_AFTER {
+            self.lost_noted = true;
+            let millis = now.since(last).as_millis() as u64;
+            effects.push(NodeEffect::FleetNote(FleetNote::ReplicasLost { millis }));
+        }
+        if let Some(followed) = &self.followed {
+            let heard = followed.current_at.unwrap_or(followed.since);
+            if now.since(heard) < REPLICA_PATIENCE {
+                return effects;
+            }
+            self.turn = self.turn.wrapping_add(1);
+        }
+        let candidates: Vec<SocketAddr> = self
+            .replicas
+            .iter()
+            .chain(&self.seeds)
+            .copied()
+            .collect::<BTreeSet<_>>()
+            .into_iter()
+            .collect();
+        let place = self.turn as usize % candidates.len().max(1);
+        let Some(peer) = candidates.get(place).copied() else { return effects };
+        let changed = self.followed.as_ref().is_none_or(|followed| followed.peer != peer);
+        self.followed = Some(FollowedReplica { peer, since: now, current_at: None });
+        self.follow_due = now;
+        if changed {
+            effects.push(NodeEffect::FleetNote(FleetNote::Follows { replica: peer }));
+        }
+        effects
+    }
+
+    fn pulse(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let mut effects = Vec::new();
+        let followed = self.followed.as_ref().map(|followed| followed.peer);
+        if let Some(peer) = followed.filter(|_| now >= self.follow_due) {
+            self.follow_due = now.after(FOLLOW_EVERY);
+            effects.push(self.pulse_to(peer, true, now));
+        }
+        if now >= self.pulse_due {
+            self.pulse_due = now.after(PULSE_EVERY);
+            let others = self.replicas.iter().chain(&self.seeds).collect::<BTreeSet<_>>();
+            let others = others.into_iter().filter(|peer| Some(**peer) != followed);
+            effects.extend(others.map(|peer| self.pulse_to(*peer, false, now)));
+        }
+        effects
+    }
+
+    fn pulse_to(&self, peer: SocketAddr, follows: bool, now: Moment) -> NodeEffect {
+        let pulse = EntryPulse {
+            front: self.front,
+            place: self.place.clone(),
+            ready: self.is_ready(),
+            follows,
+            change: self.change,
+            roster: self.roster.mark(),
+            census: self.census,
+            demand: self.desk.own_demand(),
+            sent_at: now,
+        };
+        fleet_send(peer, FleetMessage::EntryPulse(pulse))
+    }
+
+    fn read_list(&mut self, now: Moment) -> Vec<NodeEffect> {
+        let stale = self.roster.age(now).is_none_or(|age| age > LIST_STALE);
+        if !stale || now < self.list_due {
+            return Vec::new();
+        }
+        let spread =
+            stable_hash(&(now.0 ^ self.identity.incarnation).to_le_bytes()) % LIST_SPREAD_MS;
+        self.list_due = now.after(LIST_EVERY + Duration::from_millis(spread));
+        vec![NodeEffect::ReadList]
+    }
+
+    fn list_read(&mut self, list: Option<TargetList>, now: Moment) -> Vec<NodeEffect> {
+        let Some(list) = list else {
+            let age = self.roster.age(now).unwrap_or_default();
+            let age_ms = age.as_millis() as u64;
+            return vec![NodeEffect::FleetNote(FleetNote::ListUnread { age_ms })];
+        };
+        if self.roster.read(self.identity.incarnation, list, now) {
+            return self.targets_changed(now);
+        }
+        Vec::new()
+    }
+
+    fn targets_changed(&mut self, now: Moment) -> Vec<NodeEffect> {
+        self.desk.set_targets(self.roster.targets(), now);
+        let (targets, number) = (self.roster.targets().len(), self.roster.mark().number);
+        vec![NodeEffect::FleetNote(FleetNote::ListChanged { targets, number })]
+    }
+
+    fn receive(&mut self, envelope: PeerEnvelope, now: Moment) -> Vec<NodeEffect> {
+        let PeerEnvelope { deployment, sender, message, .. } = envelope;
+        if deployment != self.identity.deployment {
+            return Vec::new();
+        }
+        let PeerMessage::Fleet(message) = message else {
+            return Vec::new();
+        };
+        match *message {
+            FleetMessage::PulseReply(reply) => self.hear_reply(sender.peer, reply, now),
+            FleetMessage::Published(state) => self.take_published(state, now),
+            FleetMessage::Roster(update) => self.take_roster(update, now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn hear_reply(&mut self, peer: SocketAddr, reply: PulseReply, now: Moment) -> Vec<NodeEffect> {
+        if !reply.replicas.is_empty() {
+            self.replicas = reply.replicas.into_iter().collect();
+        }
+        let Some(followed) = self.followed.as_mut().filter(|followed| followed.peer == peer) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        if reply.current && now.since(reply.echo) < REPLICA_PATIENCE {
+            followed.current_at = Some(now);
+            self.current_at = Some(now);
+            self.confirmed |= self.change > 0;
+            if self.lost_noted {
+                self.lost_noted = false;
+                effects.push(NodeEffect::FleetNote(FleetNote::ReplicasBack { replica: peer }));
+            }
+        }
+        let mark = self.roster.mark();
+        self.roster.confirm(mark, reply.roster_age_ms, now);
+        if let Some(census) = reply.census {
+            self.census = census.mark;
+            self.desk.set_census(&census);
+        }
+        self.desk.set_demand(reply.demand);
+        effects
+    }
+
+    fn take_published(&mut self, state: PublishedState, now: Moment) -> Vec<NodeEffect> {
+        if state.change <= self.change {
+            return Vec::new();
+        }
+        if let Some(text) = state.text.filter(|_| state.version > self.table_version) {
+            match RouteTable::parse(&text) {
+                Ok(table) => {
+                    self.desk.set_table(&table);
+                    self.table_version = state.version;
+                }
+                Err(error) => {
+                    let (version, reason) = (state.version, error.to_string());
+                    let note = FleetNote::TableUnreadable { version, reason };
+                    return vec![NodeEffect::FleetNote(note)];
+                }
+            }
+        }
+        self.change = state.change;
+        self.desk.set_evacuated(&state.evacuated, now);
+        let (change, version) = (state.change, state.version);
+        let evacuated = state.evacuated.len();
+        vec![NodeEffect::FleetNote(FleetNote::InForce { change, version, evacuated })]
+    }
+
+    fn take_roster(&mut self, update: RosterUpdate, now: Moment) -> Vec<NodeEffect> {
+        let own_age = self.roster.age(now).unwrap_or(Duration::MAX);
+        let older =
+            update.from.is_none() && Duration::from_millis(update.age_ms) > own_age + LIST_STALE;
+        if !older && self.roster.take(update, now) {
+            return self.targets_changed(now);
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/messages.rs
@@ -0,0 +1,126 @@
+/*!
+Messages between entries and replicas of a fleet.
+
+All of them are one-way and may be lost, late, doubled or out of order. What they carry is a state
+with a mark of its age, never a step that must be counted.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        consensus::ReplicaId,
+        fleet::roster::{RosterMark, RosterUpdate},
+    },
+    hemlockspool_model::names::{DomainName, RegionName, ServiceName},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+};
+
+/// A message between instances of a fleet.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum FleetMessage {
+    /// An entry tells a replica that it lives.
+    EntryPulse(EntryPulse),
+    /// A replica answers the pulse of an entry that follows it.
+    PulseReply(PulseReply),
+    /// What operators published.
+    Published(PublishedState),
+    /// Changes of the list of targets.
+    Roster(RosterUpdate),
+    /// A replica tells another which targets it knows.
+    ReplicaPulse(ReplicaPulse),
+    /// A replica that belongs to no group asks to be taken in; passed on to the leader.
+    Join {
+        /// The life of its data folder.
+        id: ReplicaId,
+        /// Where it listens.
+        peer: SocketAddr,
+        /// Where it is.
+        place: InstancePlace,
+    },
+}
+
+/// Where an instance is.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct InstancePlace {
+    /// The region.
+    pub region: RegionName,
+    /// The failure domain.
+    pub domain: DomainName,
+}
+
+/// What an entry tells replicas of itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EntryPulse {
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where it is.
+    pub place: InstancePlace,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Whether it wants an answer, and updates as they come.
+    pub follows: bool,
+    /// The published state that it has.
+    pub change: u64,
+    /// The list of targets that it has.
+    pub roster: RosterMark,
+    /// The census that it has.
+    pub census: u64,
+    /// The work that its own callers ask for, in busy slots of each service.
+    pub demand: BTreeMap<ServiceName, f32>,
+    /// Its clock, handed back in the reply.
+    pub sent_at: Moment,
+}
+
+/// What a replica answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PulseReply {
+    /// The entry's clock as it was sent.
+    pub echo: Moment,
+    /// Whether the replica hears from a leader that a quorum stands by.
+    pub current: bool,
+    /// The age of the last reading of the platform's list, in milliseconds.
+    pub roster_age_ms: u64,
+    /// Where the replicas listen.
+    pub replicas: Vec<SocketAddr>,
+    /// The entries that live, when they changed.
+    pub census: Option<FleetCensus>,
+    /// The demand of each region.
+    pub demand: BTreeMap<RegionName, BTreeMap<ServiceName, f32>>,
+}
+
+/// The entries that live, as a replica sees them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FleetCensus {
+    /// A hash of the rest.
+    pub mark: u64,
+    /// Where each entry listens for peers, and where it is.
+    pub entries: BTreeMap<SocketAddr, InstancePlace>,
+}
+
+/// What operators published, up to a change.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PublishedState {
+    /// The count of changes.
+    pub change: u64,
+    /// The version of the table.
+    pub version: u64,
+    /// The table; none when the receiver has this version.
+    pub text: Option<String>,
+    /// The failure domains whose targets are out of use.
+    pub evacuated: BTreeSet<DomainName>,
+}
+
+/// What a replica tells another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaPulse {
+    /// Where it is.
+    pub place: InstancePlace,
+    /// The list of targets that it has.
+    pub roster: RosterMark,
+    /// The age of the last reading of the platform's list, in milliseconds.
+    pub roster_age_ms: u64,
+}
--- /dev/null
+++ b/crates/core/src/fleet/roster.rs
@@ -0,0 +1,185 @@
+/*!
+The list of targets, as the platform tells it.
+
+One replica reads the list; everybody else gets what changed. A list carries the mark of the reading
+that it comes from, and a holder that lacks the reading before gets the whole list.
+*/
+
+use {
+    crate::clock::Moment,
+    hemlockspool_model::names::{DomainName, ServiceName, TargetName},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// Changes kept for holders that are a little behind: 30 s of one reading each half second.
+const STEPS_KEPT: usize = 64;
+
+/// What the platform says of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetFact {
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub draining: bool,
+    /// For how much longer it was cold when that was first seen, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// The list, by name.
+pub type TargetList = BTreeMap<TargetName, TargetFact>;
+
+/// Names a reading: the process that read, and its count.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RosterMark {
+    /// The life of the process.
+    pub reader: u64,
+    /// Its count of readings that changed something.
+    pub number: u64,
+}
+
+/// What leads from one reading to another; from none, the whole list.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RosterUpdate {
+    /// The reading that it starts from; none for a whole list.
+    pub from: Option<RosterMark>,
+    /// The reading that it leads to.
+    pub to: RosterMark,
+    /// Targets that are new or changed.
+    pub put: TargetList,
+    /// Targets that are gone.
+    pub gone: Vec<TargetName>,
+    /// The age of the reading, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The list with the changes that led to it.
+#[derive(Clone, Debug, Default)]
+pub struct RosterBook {
+    mark: RosterMark,
+    targets: TargetList,
+    steps: VecDeque<RosterUpdate>,
+    read_at: Option<Moment>,
+}
+
+impl RosterBook {
+    /// Returns the reading that the list comes from.
+    pub fn mark(&self) -> RosterMark {
+        self.mark
+    }
+
+    /// Returns the targets.
+    pub fn targets(&self) -> &TargetList {
+        &self.targets
+    }
+
+    /// Returns the age of the last reading; none before the first.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Takes in a reading of this process's own; tells whether it changed the list.
+    pub fn read(&mut self, reader: u64, mut list: TargetList, now: Moment) -> bool {
+        self.read_at = Some(now);
+        for (name, fact) in &mut list {
+            // Cold time runs down by itself; only a new cold start is a change.
+            if let Some(old) = self.targets.get(name)
+                && fact.cold_ms <= old.cold_ms
+                && fact.cold_ms > 0
+            {
+                fact.cold_ms = old.cold_ms;
+            }
+        }
+        let put: TargetList = (list.iter())
+            .filter(|(name, fact)| self.targets.get(*name) != Some(*fact))
+            .map(|(name, fact)| (name.clone(), fact.clone()))
+            .collect();
+        let gone: Vec<TargetName> =
+            self.targets.keys().filter(|name| !list.contains_key(*name)).cloned().collect();
+        if put.is_empty() && gone.is_empty() && self.mark != RosterMark::default() {
+            return false;
+        }
+        let to = RosterMark { reader, number: self.mark.number + 1 };
+        let step = RosterUpdate { from: Some(self.mark), to, put, gone, age_ms: 0 };
+        self.step(step);
+        true
+    }
+
+    /// Takes in an update; tells whether it changed the list. One that starts elsewhere is dropped.
+    pub fn take(&mut self, update: RosterUpdate, now: Moment) -> bool {
+        let read_at = Moment(now.0.saturating_sub(update.age_ms * 1_000));
+        if update.to == self.mark {
+            self.read_at = self.read_at.max(Some(read_at));
+            return false;
+        }
+        if update.from == Some(self.mark) {
+            self.read_at = Some(read_at);
+            self.step(update);
+            return true;
+        }
+        if update.from.is_none() {
+            self.read_at = Some(read_at);
+            self.mark = update.to;
+            self.targets = update.put;
+            self.steps.clear();
+            return true;
+        }
+        false
+    }
+
+    /// Notes that the reading that is held still stood some time ago.
+    pub fn confirm(&mut self, mark: RosterMark, age_ms: u64, now: Moment) {
+        if mark == self.mark {
+            let read_at = Moment(now.0.saturating_sub(age_ms * 1_000));
+            self.read_at = self.read_at.max(Some(read_at));
+        }
+    }
+
+    /// Returns what leads from a reading to this one; none when the holder has it.
+    pub fn update_from(&self, mark: RosterMark, now: Moment) -> Option<RosterUpdate> {
+        if mark == self.mark || self.mark == RosterMark::default() {
+            return None;
+        }
+        let age_ms = self.age(now).unwrap_or_default().as_millis() as u64;
+        let first = self.steps.iter().position(|step| step.from == Some(mark));
+        let Some(first) = first else {
+            let put = self.targets.clone();
+            return Some(RosterUpdate { from: None, to: self.mark, put, gone: Vec::new(), age_ms });
+        };
+        let mut update =
+            RosterUpdate { from: Some(mark), to: self.mark, age_ms, ..Default::default() };
+        for step in self.steps.iter().skip(first) {
+            for name in &step.gone {
+                update.put.remove(name);
+                update.gone.push(name.clone());
+            }
+            for (name, fact) in &step.put {
+                update.gone.retain(|gone| gone != name);
+                update.put.insert(name.clone(), fact.clone());
+            }
+        }
+        Some(update)
+    }
+
+    fn step(&mut self, step: RosterUpdate) {
+        self.mark = step.to;
+        for name in &step.gone {
+            self.targets.remove(name);
+        }
+        self.targets.extend(step.put.clone());
+        self.steps.push_back(step);
+        if self.steps.len() > STEPS_KEPT {
+            self.steps.pop_front();
+        }
+    }
+}
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -1,5 +1,6 @@
 /*!
-What the replicated log decides: publications, claims, tallies and the audit trail.
+What the replicated log decides: publications, route tables, claims, tallies and the
+audit trail.
 
 A [`LedgerState`] is a deterministic machine. Every replica applies the same commands in the same
 order, with the calendar of the leader that took them in, and comes to the same state and the same
@@ -11,11 +12,13 @@
 pub mod claims;
 pub mod publication;
 pub mod state;
+pub mod tables;
 pub mod tallies;
 
 pub use {
     claims::{ClaimAnswer, ClaimCommand, ClaimKey, ClaimToken, SettledAnswer},
     publication::{PublishCommand, VersionStep},
     state::{LedgerCommand, LedgerError, LedgerOutcome, LedgerState},
+    tables::{TableAnswer, TableBook, TableOrder},
     tallies::{TallyCount, TallyKey, TallyReport, TallySource},
 };
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -9,6 +9,7 @@
             audit::{AuditDraft, AuditTrail},
             claims::{ClaimAnswer, ClaimBook, ClaimCommand, ClaimKey, ClaimToken, SettledAnswer},
             publication::{PublicationBook, PublishCommand},
+            tables::{TableAnswer, TableBook, TableOrder},
             tallies::{TallyBook, TallyReport},
         },
     },
@@ -59,6 +60,8 @@
     },
     /// Reports counts.
     Tally(TallyReport),
+    /// Changes the route table or the evacuations.
+    Table(TableOrder),
 }
 
 /// What a command came to.
@@ -68,6 +71,8 @@
     Published(PublishAnswer),
     /// Of a claim.
     Claimed(ClaimAnswer),
+    /// Of a change of the route table or the evacuations.
+    Tabled(TableAnswer),
     /// Of anything that is only recorded.
     Recorded,
 }
@@ -87,6 +92,7 @@
     pub(crate) audit: AuditTrail,
     pub(crate) claims: ClaimBook,
     pub(crate) tallies: TallyBook,
+    pub(crate) tables: TableBook,
     clock_ms: u64,
 }
 
@@ -133,6 +139,11 @@
         &self.tallies
     }
 
+    /// Returns the route table and the evacuations.
+    pub fn tables(&self) -> &TableBook {
+        &self.tables
+    }
+
     /// Returns the publications.
     pub fn publications(&self) -> &PublicationBook {
         &self.publications
@@ -171,6 +182,7 @@
                 self.tallies.take_in(report);
                 LedgerOutcome::Recorded
             }
+            LedgerCommand::Table(order) => LedgerOutcome::Tabled(self.order(now_ms, order)),
         }
     }
 
@@ -205,6 +217,29 @@
         answer
     }
 
+    /// Applies an order, and records it when it changed something or was refused.
+    fn order(&mut self, now_ms: u64, order: TableOrder) -> TableAnswer {
+        let before = self.tables.change();
+        let from = ConfigVersion(self.tables.version());
+        let line = match &order {
+            TableOrder::Replace { version, .. } => format!("route table {version}"),
+            TableOrder::Evacuate { domain, begins: true } => format!("evacuation of {domain}"),
+            TableOrder::Evacuate { domain, .. } => format!("end of the evacuation of {domain}"),
+            TableOrder::Confirm => String::new(),
+        };
+        let answer = self.tables.apply(order);
+        let action = match answer {
+            TableAnswer::Accepted { change } if change == before => return answer,
+            TableAnswer::Accepted { .. } => AuditAction::Accepted,
+            TableAnswer::Conflict { .. } | TableAnswer::Stale { .. } => AuditAction::Conflict,
+        };
+        let to = ConfigVersion(self.tables.version());
+        let changed = vec![line];
+        let draft = AuditDraft { at_ms: now_ms, action, from, to, changed, ..self.draft() };
+        self.audit.push(draft);
+        answer
+    }
+
     fn record_unauthorised(&mut self, now_ms: u64, request: RequestTag) {
         let action = AuditAction::Unauthorised;
         let draft = AuditDraft { at_ms: now_ms, request, action, ..self.draft() };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,8 @@
 * [`steering`] answers look-ups.
 * [`targets`] judges targets; [`requests`] admits, places, retries and ends requests.
 * [`operators`] takes operators' calls.
+* [`fleet`] has the states of entries and replicas whose targets are found at run time.
+* [`traffic`] decides about requests at an entry of a fleet.
 * [`reducer`] routes events to all of these; [`effect`] is what comes out; [`wire`] is what travels.
 */
 
@@ -21,6 +23,7 @@
 pub mod consensus;
 pub mod domain;
 pub mod effect;
+pub mod fleet;
 pub mod identity;
 pub mod ledger;
 pub mod notes;
@@ -32,5 +35,6 @@
 pub mod steering;
 mod submit;
 pub mod targets;
+pub mod traffic;
 pub mod util;
 pub mod wire;
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -78,6 +78,11 @@
         /// The instance.
         name: InstanceName,
     },
+    /// A replica lost its vote to one that answers.
+    ReplicaDemoted {
+        /// The instance.
+        name: InstanceName,
+    },
     /// A data folder made anew replaces an older one of the same instance.
     ReplicaReplaced {
         /// The instance.
@@ -135,6 +140,7 @@
         (123, NoteLevel::Info, "a snapshot from the leader replaced the ledger"),
         (124, NoteLevel::Info, "a learner got a vote"),
         (125, NoteLevel::Warn, "a new data folder replaces an older one of the same instance"),
+        (126, NoteLevel::Warn, "a replica that does not answer lost its vote"),
         (130, NoteLevel::Warn, "a message from another deployment or format was dropped"),
         (140, NoteLevel::Warn, "a target is shut out after failures"),
         (141, NoteLevel::Info, "a target gets work again"),
@@ -161,6 +167,7 @@
             Self::SnapshotInstalled { .. } => 123,
             Self::ReplicaPromoted { .. } => 124,
             Self::ReplicaReplaced { .. } => 125,
+            Self::ReplicaDemoted { .. } => 126,
             Self::ForeignPeer { .. } => 130,
             Self::TargetEjected { .. } => 140,
             Self::TargetReturned { .. } => 141,
@@ -191,7 +198,9 @@
         write!(f, "E{} {}", self.code(), self.text())?;
         match self {
             Self::Started { name } | Self::ReplicaPromoted { name } => write!(f, " name={name}"),
-            Self::ReplicaReplaced { name } | Self::PeerSilent { name } => write!(f, " name={name}"),
+            Self::ReplicaReplaced { name }
+            | Self::ReplicaDemoted { name }
+            | Self::PeerSilent { name } => write!(f, " name={name}"),
             Self::ForeignPeer { sender } => write!(f, " sender={sender}"),
             Self::InForce { version }
             | Self::SettledUnconfirmed { version }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -297,6 +297,8 @@
         let now = clock.now;
         let is_replica = !self.replicas.is_empty();
         match message {
+            // Spoken only where targets are found at run time.
+            PeerMessage::Fleet(_) => Vec::new(),
             PeerMessage::Consensus { group, from, to, message } => {
                 let Some(replica) = self.replicas.get_mut(&group) else {
                     return Vec::new();
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -7,10 +7,12 @@
         clock::{ClockReading, Moment},
         consensus::{
             ConsensusEffect, ConsensusGroup, ConsensusMessage, GroupId, LogEntry, LogPayload,
-            LogPosition, MemberRefusal, ReplicaId, ReplicaMember, RestoredLog, TRAILING_ENTRIES,
+            LogPosition, MemberRefusal, MemberSet, ReplicaId, ReplicaMember, RestoredLog,
+            TRAILING_ENTRIES,
         },
         effect::{DiskEffect, NodeEffect},
-        ledger::{LedgerCommand, LedgerError, LedgerState},
+        fleet::steward::ReplicaSteward,
+        ledger::{LedgerCommand, LedgerError, LedgerState, TableOrder},
         notes::NodeNote,
         wire::{PeerMessage, PeerSender, SubmitAnswer, SubmitId},
     },
@@ -164,6 +166,23 @@
         effects
     }
 
+    /// Leaves it to the caller which learners get votes.
+    pub(crate) fn keep_votes_manual(&mut self) {
+        self.group.promotes = false;
+    }
+
+    /// Starts a deployment whose first voters are known beforehand.
+    pub(crate) fn found(&mut self, members: MemberSet, now: Moment) -> Vec<NodeEffect> {
+        // A replica that belongs to a deployment already goes on with it.
+        let _ = self.group.found(members, now);
+        self.drain_effects()
+    }
+
+    /// Lets a steward change the replicas.
+    pub(crate) fn tend(&mut self, steward: &mut ReplicaSteward, now: Moment) {
+        steward.tend(&mut self.group, now);
+    }
+
     pub(crate) fn init(
         &mut self,
         member: ReplicaMember,
@@ -307,9 +326,18 @@
 /// Objects in a publication from which on it is worth a snapshot by itself.
 const LARGE_OBJECTS: usize = 10_000;
 
+/// Bytes of a route table from which on it is worth a snapshot by itself: entries of this size
+/// must not pile up in memory.
+const LARGE_TABLE_BYTES: usize = 32 << 10;
+
 fn is_large(command: &LedgerCommand) -> bool {
-    let LedgerCommand::Publish(publish) = command else { return false };
-    publish.delta.as_ref().is_some_and(|delta| delta.len() >= LARGE_OBJECTS)
+    match command {
+        LedgerCommand::Publish(publish) => {
+            publish.delta.as_ref().is_some_and(|delta| delta.len() >= LARGE_OBJECTS)
+        }
+        LedgerCommand::Table(TableOrder::Replace { text, .. }) => text.len() >= LARGE_TABLE_BYTES,
+        _ => false,
+    }
 }
 
 /// Faults carried in one answer.
--- /dev/null
+++ b/crates/core/src/traffic/board.rs
@@ -0,0 +1,202 @@
+/*!
+What an entry knows of each target.
+
+The platform's list says what a target is; its answers say how it does. What it does goes before what
+it says: a target that refuses connections or breaks answers is left alone for a while and probed
+before it gets requests again.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        fleet::roster::TargetFact,
+        traffic::{cold::ColdPermits, job::TargetLoad},
+    },
+    hemlockspool_model::names::{RegionName, TargetName},
+    std::time::Duration,
+};
+
+/// The half-life of what others were seen to have at a target.
+const OTHERS_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// The weight of a new observation of others' requests.
+const OTHERS_WEIGHT: f64 = 0.5;
+/// Failures in a row after which a target is left alone.
+const FAILS_MAX: u32 = 3;
+/// For how long a target is left alone at first; it doubles with each failed probe.
+const OUT_FIRST: Duration = Duration::from_millis(500);
+/// For how long a target is left alone at most.
+const OUT_MAX: Duration = Duration::from_secs(4);
+/// After how long without an answer a probe counts as failed.
+const PROBE_PATIENCE: Duration = Duration::from_millis(1_000);
+/// The weight of a failure in the share of failed requests.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// For how long a target that says that it is full is passed over.
+const FULL_FOR: Duration = Duration::from_millis(60);
+
+/// Whether a target gets requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum TargetHealth {
+    /// It does.
+    In,
+    /// Not until a time, and then only after a probe.
+    Out { until: Moment, pause: Duration },
+    /// A probe is under way.
+    Probing { since: Moment, pause: Duration },
+    /// Another instance has its address.
+    Replaced,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetRecord {
+    pub fact: TargetFact,
+    pub region: RegionName,
+    pub health: TargetHealth,
+    pub own: u32,
+    others: f64,
+    others_at: Moment,
+    pub full_until: Option<Moment>,
+    pub fails: u32,
+    /// The recent share of requests that it failed.
+    pub failing: f64,
+    pub cold_until: Option<Moment>,
+    pub cold_permits: ColdPermits,
+}
+
+impl TargetRecord {
+    pub fn new(fact: TargetFact, region: RegionName, now: Moment) -> Self {
+        let cold = (fact.cold_ms > 0).then(|| now.after(Duration::from_millis(fact.cold_ms)));
+        Self {
+            fact,
+            region,
+            health: TargetHealth::In,
+            own: 0,
+            others: 0.0,
+            others_at: now,
+            full_until: None,
+            fails: 0,
+            failing: 0.0,
+            cold_until: cold,
+            cold_permits: ColdPermits::default(),
+        }
+    }
+
+    /// Takes in what the list says now.
+    pub fn relist(&mut self, fact: TargetFact, now: Moment) {
+        if fact.cold_ms > 0 && fact.cold_ms != self.fact.cold_ms {
+            self.cool(Duration::from_millis(fact.cold_ms), now);
+        }
+        if fact.address != self.fact.address {
+            self.health = TargetHealth::In;
+            self.fails = 0;
+        }
+        // A target that drains never takes new work again under the same name.
+        let draining = self.fact.draining || fact.draining;
+        self.fact = TargetFact { draining, ..fact };
+    }
+
+    /// Notes that the target is cold for a time.
+    pub fn cool(&mut self, span: Duration, now: Moment) {
+        self.cold_until = self.cold_until.max(Some(now.after(span)));
+    }
+
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the requests that it is taken to hold, from all entries.
+    pub fn load(&self, now: Moment) -> f64 {
+        let age = now.since(self.others_at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
+        f64::from(self.own) + self.others * 0.5_f64.powf(age)
+    }
+
+    pub fn hear_load(&mut self, load: TargetLoad, now: Moment) {
+        // The answered request itself is counted neither here nor there.
+        let seen = f64::from((load.running + load.waiting).saturating_sub(self.own));
+        let old = self.load(now) - f64::from(self.own);
+        self.others = old + OTHERS_WEIGHT * (seen - old);
+        self.others_at = now;
+        if load.slots > 0 {
+            self.fact.slots = load.slots;
+        }
+    }
+
+    /// Notes that the target refused a request: for want of room, or in spite of room, which is a
+    /// fault.
+    pub fn hear_refusal(&mut self, load: Option<TargetLoad>, now: Moment) {
+        if load.is_some_and(|load| load.running >= load.slots) {
+            self.full_until = Some(now.after(FULL_FOR));
+        } else {
+            self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+        }
+    }
+
+    pub fn is_full(&self, now: Moment) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
+    pub fn succeeded(&mut self) {
+        self.fails = 0;
+        self.failing *= 1.0 - FAILURE_WEIGHT;
+    }
+
+    /// Notes a failure; returns for how long the target is left alone from now on, if it is.
+    pub fn failed(&mut self, hard: bool, now: Moment) -> Option<Duration> {
+        self.fails += 1;
+        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+        let out = self.health == TargetHealth::In && (hard || self.fails >= FAILS_MAX);
+        if !out {
+            return None;
+        }
+        self.health = TargetHealth::Out { until: now.after(OUT_FIRST), pause: OUT_FIRST };
+        Some(OUT_FIRST)
+    }
+
+    /// Begins a probe when one is due; tells whether it does.
+    pub fn begin_probe(&mut self, now: Moment) -> bool {
+        match self.health {
+            TargetHealth::Out { until, pause } if now >= until => {
+                self.health = TargetHealth::Probing { since: now, pause };
+                true
+            }
+            TargetHealth::Probing { since, pause } if now.since(since) > PROBE_PATIENCE => {
+                self.probe_failed(pause, now);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Takes in the end of a probe: for how long the target says that it is cold, if it answered.
+    pub fn probed(&mut self, cold: Option<Duration>, now: Moment) -> bool {
+        let TargetHealth::Probing { pause, .. } = self.health else {
+            return false;
+        };
+        let Some(cold) = cold else {
+            self.probe_failed(pause, now);
+            return false;
+        };
+        self.health = TargetHealth::In;
+        self.fails = 0;
+        if !cold.is_zero() {
+            self.cool(cold, now);
+        }
+        true
+    }
+
+    fn probe_failed(&mut self, pause: Duration, now: Moment) {
+        let pause = (2 * pause).min(OUT_MAX);
+        self.health = TargetHealth::Out { until: now.after(pause), pause };
+    }
+
+    /// Tells whether the target may get new work at all.
+    pub fn is_eligible(&self) -> bool {
+        !self.fact.draining && self.health == TargetHealth::In && self.fact.slots > 0
+    }
+}
+
+/// Names a probe to be made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct ProbeWish {
+    pub target: TargetName,
+}
--- /dev/null
+++ b/crates/core/src/traffic/mod.rs
@@ -0,0 +1,20 @@
+/*!
+What an entry decides about requests: which target runs each, and which are refused.
+
+* [`job`] is a request on its way; [`board`] is what the entry knows of each target.
+* [`placement`] chooses a target; [`desk`] joins all of this.
+* [`spill`] plans what part of a region's work runs in other regions.
+* [`budget`] bounds repeats; [`cold`] bounds what targets that have just started get.
+
+Requests for the same object go to the same target from all entries, without talk between them: the
+targets of a region are ranked by a hash of the object's key and the target's name. A target that
+leaves or joins moves only its own keys.
+*/
+
+pub mod board;
+pub mod budget;
+pub mod cold;
+pub mod desk;
+pub mod job;
+pub mod placement;
+pub mod spill;
--- /dev/null
+++ b/crates/core/src/traffic/placement.rs
@@ -0,0 +1,150 @@
+/*!
+The choice of a target among those of a service.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        fleet::messages::InstancePlace,
+        traffic::{board::TargetRecord, cold, job::RequestJob},
+        util::stable_hash,
+    },
+    hemlockspool_model::names::{DomainName, RegionName, TargetName},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+};
+
+/// Targets of a region that are tried in the order of their rank before the least loaded one.
+const RANKED: usize = 2;
+/// The part of the time to spare that a request may wait at a target, for each rank.
+const QUEUE_BY_RANK: [f64; 3] = [0.9, 0.6, 0.35];
+/// The most rounds of work that a request waits at a target.
+const QUEUE_ROUNDS_MAX: f64 = 1.0;
+/// From which share of failed requests on a target gets only trials.
+const FAILING: f64 = 0.25;
+/// One in this many requests tries a target that fails many.
+const TRIAL_ONE_IN: u64 = 24;
+
+/// What a choice is made from.
+#[derive(Debug)]
+pub(crate) struct PlacementView<'a> {
+    pub records: &'a BTreeMap<TargetName, TargetRecord>,
+    pub evacuated: &'a BTreeSet<DomainName>,
+    pub me: SocketAddr,
+    pub entries: &'a BTreeMap<SocketAddr, InstancePlace>,
+    pub now: Moment,
+    /// How long the work of the request takes at a warm target, in milliseconds.
+    pub work_ms: f64,
+}
+
+/// A target that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct TargetChoice {
+    pub target: TargetName,
+    pub load: f64,
+    pub is_cold: bool,
+}
+
+/// Why none was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PlacementGap {
+    /// All have too much work.
+    Full,
+    /// There is none.
+    None,
+}
+
+impl PlacementView<'_> {
+    /// Chooses a target of the pools, which are by region and in the order of preference.
+    pub(crate) fn choose(
+        &self,
+        job: &RequestJob,
+        pools: &[(&RegionName, &[TargetName])],
+    ) -> Result<TargetChoice, PlacementGap> {
+        let mut gap = PlacementGap::None;
+        for (_, pool) in pools {
+            match self.choose_in(job, pool) {
+                Ok(choice) => return Ok(choice),
+                Err(PlacementGap::Full) => gap = PlacementGap::Full,
+                Err(PlacementGap::None) => {}
+            }
+        }
+        // Targets that have just started take what nobody else does.
+        let cold = pools.iter().find_map(|(_, pool)| self.choose_cold(job, pool));
+        cold.ok_or(gap)
+    }
+
+    fn choose_in(
+        &self,
+        job: &RequestJob,
+        pool: &[TargetName],
+    ) -> Result<TargetChoice, PlacementGap> {
+        let mut ranked: Vec<(u64, &TargetName, &TargetRecord)> = (pool.iter())
+            .filter_map(|name| Some((name, self.records.get(name)?)))
+            .filter(|(name, record)| self.is_open(job, name, record) && !record.is_cold(self.now))
+            .map(|(name, record)| (affinity(job.key, name), name, record))
+            .collect();
+        if ranked.is_empty() {
+            return Err(PlacementGap::None);
+        }
+        ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+        let room = |record: &TargetRecord| {
+            let load = record.load(self.now);
+            let limit = self.limit(job, record.fact.slots);
+            (load < limit && !record.is_full(self.now)).then_some(load)
+        };
+        let choice =
+            |name: &TargetName, load| TargetChoice { target: name.clone(), load, is_cold: false };
+        for (_, name, record) in ranked.iter().take(RANKED) {
+            if let Some(load) = room(record) {
+                return Ok(choice(name, load));
+            }
+        }
+        let relative =
+            |record: &TargetRecord, load: f64| load / f64::from(record.fact.slots.max(1));
+        let rest = ranked.iter().skip(RANKED);
+        let least = rest
+            .filter_map(|(_, name, record)| Some((name, record, room(record)?)))
+            .min_by(|a, b| relative(a.1, a.2).total_cmp(&relative(b.1, b.2)));
+        least.map(|(name, _, load)| choice(name, load)).ok_or(PlacementGap::Full)
+    }
+
+    fn choose_cold(&self, job: &RequestJob, pool: &[TargetName]) -> Option<TargetChoice> {
+        let records = pool.iter().filter_map(|name| Some((name, self.records.get(name)?)));
+        let mut fitting = records.filter(|(name, record)| {
+            self.is_open(job, name, record)
+                && record.is_cold(self.now)
+                && record.cold_permits.ready(self.now)
+                && cold::owns(name, self.me, self.entries)
+        });
+        let (name, record) = fitting.next()?;
+        Some(TargetChoice { target: name.clone(), load: record.load(self.now), is_cold: true })
+    }
+
+    fn is_open(&self, job: &RequestJob, name: &TargetName, record: &TargetRecord) -> bool {
+        let trial = || affinity(job.arrived.0, name) % TRIAL_ONE_IN == 0;
+        record.is_eligible()
+            && !self.evacuated.contains(&record.fact.domain)
+            && !job.tried.contains(name)
+            && (record.failing < FAILING || trial())
+    }
+
+    /// Returns how many requests a target may hold for one more to be in time there.
+    fn limit(&self, job: &RequestJob, slots: u32) -> f64 {
+        let left_ms = job.goal_at.since(self.now).as_secs_f64() * 1_000.0;
+        let spare_rounds = (left_ms - self.work_ms) / self.work_ms.max(1.0);
+        let rank = (job.plan.rank as usize).min(QUEUE_BY_RANK.len() - 1);
+        let rounds = (spare_rounds * QUEUE_BY_RANK[rank]).clamp(0.0, QUEUE_ROUNDS_MAX);
+        f64::from(slots) * (1.0 + rounds)
+    }
+}
+
+/// Returns the rank of a target for an object.
+fn affinity(key: u64, target: &TargetName) -> u64 {
+    let mut bytes = Vec::with_capacity(8 + target.as_str().len());
+    bytes.extend_from_slice(&key.to_le_bytes());
+    bytes.extend_from_slice(target.as_str().as_bytes());
+    stable_hash(&bytes)
+}
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -10,6 +10,7 @@
     crate::{
         clock::Moment,
         consensus::{ConsensusMessage, GroupId, ReplicaId},
+        fleet::messages::FleetMessage,
         ledger::{LedgerCommand, LedgerOutcome, VersionStep},
     },
     hemlockspool_model::{
@@ -25,7 +26,7 @@
 pub const WIRE_FORMAT: u16 = 1;
 
 /// A message with what its receiver must know of the sender.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerEnvelope {
     /// The format.
     pub format: u16,
@@ -117,7 +118,7 @@
 }
 
 /// A message between instances.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Between replicas of a group.
     Consensus {
@@ -180,6 +181,8 @@
     },
     /// Tells an entry of the failure domain that the sender serves.
     Pulse(PeerPulse),
+    /// Between instances whose targets are found at run time.
+    Fleet(Box<FleetMessage>),
 }
 
 /// Why bytes aren't a message.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -232,6 +232,7 @@
                     self.answers.insert(ticket, answer);
                 }
                 OperatorReply::Replica(answer) => self.replica_answers.push(answer),
+                other => panic!("{other:?} answers no call of these tests"),
             },
             _ => {}
         }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,8 @@
 * [`delta`] is the difference between two sets, which is what travels and what an audit shows.
 * [`check`] judges a whole set and names every fault.
 * [`declaration`] reads objects from JSON text.
+* [`table`] is the route table, for deployments whose targets are found at run time; [`span`] reads
+  the durations in it.
 * [`api`] holds HTTP bodies and header names.
 
 # Example
@@ -34,3 +36,5 @@
 pub mod objects;
 pub mod set;
 mod shared_blocks;
+pub mod span;
+pub mod table;
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -50,6 +50,7 @@
 name_type!(InstanceName, "an instance of this system");
 name_type!(LinkName, "a link between two regions");
 name_type!(ServiceName, "a service");
+name_type!(RouteName, "a route");
 name_type!(KindName, "a kind of request within a service");
 name_type!(TargetName, "a target");
 name_type!(LimitName, "a limit");
--- a/crates/node/src/disk/identity.rs
+++ b/crates/node/src/disk/identity.rs
@@ -24,6 +24,17 @@
     _lock: File,
 }
 
+/// Who wants to use a folder.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FolderOwner<'a> {
+    /// The deployment.
+    pub deployment: &'a str,
+    /// The instance.
+    pub name: &'a InstanceName,
+    /// The life that the folder gets when it is empty.
+    pub fresh: ReplicaId,
+}
+
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct FolderIdentity {
@@ -39,6 +50,17 @@
     ///
     /// [`DiskError`] when the folder is in use, foreign, or can't be used.
     pub(crate) fn open(path: &Path, settings: &DaemonSettings) -> Result<Self, DiskError> {
+        let fresh = ReplicaId(rand::random());
+        let owner = FolderOwner { deployment: &settings.deployment, name: &settings.name, fresh };
+        Self::open_as(path, owner)
+    }
+
+    /// Opens a folder for an owner, and gives it the owner's new life when it is empty.
+    ///
+    /// # Errors
+    ///
+    /// [`DiskError`] when the folder is in use, foreign, or can't be used.
+    pub(crate) fn open_as(path: &Path, owner: FolderOwner<'_>) -> Result<Self, DiskError> {
         fs::create_dir_all(path).map_err(DiskAction::Create.at(path))?;
         let lock_path = path.join("lock");
         let lock = File::create(&lock_path).map_err(DiskAction::Open.at(&lock_path))?;
@@ -55,9 +77,9 @@
         let identity = if identity_path.exists() {
             read_identity(&identity_path)?
         } else {
-            make_identity(path, &identity_path, settings)?
+            make_identity(path, &identity_path, owner)?
         };
-        if identity.deployment != settings.deployment || identity.name != settings.name {
+        if identity.deployment != owner.deployment || identity.name != *owner.name {
             let FolderIdentity { name, deployment, .. } = identity;
             return Err(DiskError::Foreign { path: path.to_owned(), name, deployment });
         }
@@ -84,12 +106,12 @@
 fn make_identity(
     folder: &Path,
     path: &Path,
-    settings: &DaemonSettings,
+    owner: FolderOwner<'_>,
 ) -> Result<FolderIdentity, DiskError> {
     let identity = FolderIdentity {
-        deployment: settings.deployment.clone(),
-        name: settings.name.clone(),
-        replica: ReplicaId(rand::random()),
+        deployment: owner.deployment.to_owned(),
+        name: owner.name.clone(),
+        replica: owner.fresh,
     };
     let text = serde_json::to_vec(&identity).expect("an identity can be encoded");
     write_synced(folder, path, &text)?;
--- a/crates/node/src/disk/mod.rs
+++ b/crates/node/src/disk/mod.rs
@@ -22,4 +22,9 @@
 pub(crate) mod store;
 pub(crate) mod writer;
 
-pub(crate) use {error::DiskError, identity::DataFolder, store::LogStore, writer::LogWriter};
+pub(crate) use {
+    error::DiskError,
+    identity::{DataFolder, FolderOwner},
+    store::LogStore,
+    writer::LogWriter,
+};
--- /dev/null
+++ b/crates/node/src/fleet/peer_link.rs
@@ -0,0 +1,160 @@
+/*!
+Messages between instances over TCP.
+
+One connection for each peer that this instance has something for, made when it is needed. Sending
+never waits: messages for a peer that is away are dropped, which every receiver stands. A connection
+whose other side says nothing more is found out by the kernel's bound on unacknowledged bytes and made
+anew; nng, which the declared deployments use, can't set that bound and holds several threads.
+*/
+
+use {
+    bytes::{BufMut, Bytes, BytesMut},
+    hemlockspool_core::wire::PeerEnvelope,
+    miette::Diagnostic,
+    socket2::SockRef,
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::mpsc::{Receiver, Sender, UnboundedSender, channel},
+        time::{sleep, timeout},
+    },
+};
+
+/// Messages that wait for a peer at most.
+const WAITING_MAX: usize = 256;
+/// The largest message, in bytes.
+const MESSAGE_BYTES_MAX: usize = 64 << 20;
+/// How long a connection may take.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(600);
+/// How long written bytes may stay unacknowledged: over two resends in the farthest region.
+const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+/// The pause after a connection could not be made.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// After how long without a message a connection is closed.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// Why this instance can't listen.
+#[derive(Debug, Diagnostic, Error)]
+#[error("{address}: can't listen for peers")]
+#[diagnostic(code(hemlockspool::peer_link::listen))]
+pub(crate) struct LinkListenError {
+    address: SocketAddr,
+    #[source]
+    source: io::Error,
+}
+
+/// Connections to and from other instances.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLinks {
+    queues: Mutex<BTreeMap<SocketAddr, Sender<Bytes>>>,
+}
+
+impl PeerLinks {
+    /// Listens, and hands every message that can be read to a channel.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkListenError`] when the address can't be listened on.
+    pub(crate) async fn listen(
+        address: SocketAddr,
+        inbox: UnboundedSender<PeerEnvelope>,
+    ) -> Result<Self, LinkListenError> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|source| LinkListenError { address, source })?;
+        tokio::spawn(accept(listener, inbox));
+        Ok(Self::default())
+    }
+
+    /// Sends a message, or drops it when its receiver is too far behind.
+    pub(crate) fn send(&self, to: SocketAddr, envelope: &PeerEnvelope) {
+        let message = envelope.encode();
+        let mut frame = BytesMut::with_capacity(4 + message.len());
+        frame.put_u32_le(message.len() as u32);
+        frame.extend_from_slice(&message);
+        let frame = frame.freeze();
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = queues.get(&to).filter(|queue| !queue.is_closed());
+        let queue = match open {
+            Some(queue) => queue.clone(),
+            None => {
+                let (sender, receiver) = channel(WAITING_MAX);
+                tokio::spawn(carry(to, receiver));
+                queues.insert(to, sender.clone());
+                sender
+            }
+        };
+        let _ = queue.try_send(frame);
+    }
+}
+
+async fn accept(listener: TcpListener, inbox: UnboundedSender<PeerEnvelope>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(read_messages(stream, inbox.clone()));
+            }
+            Err(_) => sleep(RECONNECT_PAUSE).await,
+        }
+    }
+}
+
+/// Reads messages until the sender closes, stays silent for long, or sends something else.
+async fn read_messages(mut stream: TcpStream, inbox: UnboundedSender<PeerEnvelope>) {
+    while let Ok(Ok(length)) = timeout(2 * IDLE_MAX, stream.read_u32_le()).await {
+        if length as usize > MESSAGE_BYTES_MAX {
+            return;
+        }
+        let mut message = vec![0; length as usize];
+        let read = timeout(IDLE_MAX, stream.read_exact(&mut message)).await;
+        if !matches!(read, Ok(Ok(_))) {
+            return;
+        }
+        let Ok(envelope) = PeerEnvelope::decode(&message) else {
+            return;
+        };
+        if inbox.send(envelope).is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes a peer's messages, over one connection after another, until there are none for a while.
+async fn carry(to: SocketAddr, mut queue: Receiver<Bytes>) {
+    while let Ok(Some(first)) = timeout(IDLE_MAX, queue.recv()).await {
+        let Some(mut stream) = connect(to).await else {
+            // What waited meanwhile is out of date.
+            while queue.try_recv().is_ok() {}
+            sleep(RECONNECT_PAUSE).await;
+            continue;
+        };
+        let mut next = Some(first);
+        while let Some(frame) = next {
+            let written = timeout(SILENCE_MAX, stream.write_all(&frame)).await;
+            if !matches!(written, Ok(Ok(()))) {
+                break;
+            }
+            next = timeout(IDLE_MAX, queue.recv()).await.unwrap_or_default();
+        }
+    }
+}
+
+async fn connect(to: SocketAddr) -> Option<TcpStream> {
+    let stream = timeout(CONNECT_PATIENCE, TcpStream::connect(to)).await.ok()?.ok()?;
+    bound_silence(&stream, SILENCE_MAX);
+    Some(stream)
+}
+
+/// Has the kernel end a connection whose bytes stay unacknowledged.
+pub(crate) fn bound_silence(stream: &TcpStream, span: Duration) {
+    // A socket that refuses these options works without them, only slower to fail.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(span));
+}
--- /dev/null
+++ b/crates/node/src/fleet/run_entry.rs
@@ -0,0 +1,141 @@
+/*!
+From settings to a serving entry, and its graceful stop.
+*/
+
+use {
+    super::{
+        decision_log::DecisionLog,
+        entry_shell::{EntryShell, EntryShellParts},
+        front,
+        peer_link::PeerLinks,
+        run_replica::{FleetRunError, identity_of, listen, serve_metrics},
+        settings::{FleetRole, FleetSettings},
+        settings_watch,
+    },
+    crate::shell::moment_since,
+    hemlockspool_core::{
+        fleet::{
+            entry::{EntryEvent, EntryParts, EntryState},
+            notes::FleetNote,
+        },
+        traffic::desk::DeskSettings,
+        wire::PeerEnvelope,
+    },
+    poem::{Request, Route, endpoint, get, http::StatusCode},
+    reqwest::Client,
+    std::{path::PathBuf, sync::Arc, time::Duration},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::mpsc::{UnboundedReceiver, unbounded_channel},
+        time::{Instant, MissedTickBehavior, interval, sleep},
+    },
+};
+
+/// The time between ticks.
+const TICK_EVERY: Duration = Duration::from_millis(50);
+/// The time between looks for connections that were kept for long enough.
+const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
+/// The part of the grace in which a stopping entry still takes requests of callers that hold an
+/// older look-up answer.
+const OPEN_SHARE: f64 = 0.55;
+/// What a stopping entry leaves of the grace, so that it ends by itself.
+const GRACE_LEFT: Duration = Duration::from_millis(300);
+
+/// Runs an entry until a signal asks for a stop.
+///
+/// # Errors
+///
+/// See [`FleetRunError`].
+pub(crate) async fn run_entry(settings: FleetSettings, path: PathBuf) -> Result<(), FleetRunError> {
+    let started = Instant::now();
+    let log = DecisionLog::open(settings.name.as_str());
+    let listen_at = settings.listen.clone();
+    let callers = listen(listen_at.callers).await?;
+    let readiness = listen(listen_at.readiness).await?;
+    let (sender, inbox) = unbounded_channel();
+    let links = PeerLinks::listen(listen_at.peers, sender).await?;
+    let identity = identity_of(&settings);
+    let desk = DeskSettings {
+        me: listen_at.peers,
+        region: settings.region.clone(),
+        domains: settings.domains.clone(),
+        retry_bound: settings.retry_bound(),
+    };
+    let parts = EntryParts {
+        identity,
+        place: settings.place(),
+        front: callers.address(),
+        seeds: settings.seed_peers(),
+        desk,
+    };
+    let note =
+        FleetNote::Started { name: settings.name.clone(), incarnation: parts.identity.incarnation };
+    let state = EntryState::new(parts, moment_since(started));
+    let client = Client::builder().no_proxy().build()?;
+    let shell = EntryShell::new(EntryShellParts { settings, state, log, client, links, started });
+    shell.note(&note);
+    let hangup = signal(SignalKind::hangup()).map_err(FleetRunError::Signal)?;
+    let reloading = Arc::clone(&shell);
+    let reload = move |seeds| {
+        reloading.note(&FleetNote::Reloaded);
+        reloading.apply(EntryEvent::Seeds(seeds));
+    };
+    tokio::spawn(settings_watch::follow(path, FleetRole::Entry, hangup, reload));
+    tokio::spawn(take_in(Arc::clone(&shell), inbox));
+    tokio::spawn(tick(Arc::clone(&shell)));
+    tokio::spawn(sweep(Arc::clone(&shell)));
+    serve_metrics(listen_at.metrics, &shell.metrics).await?;
+    let asked = Arc::clone(&shell);
+    let ready = endpoint::make_sync(move |_: Request| {
+        let ready = asked.decide(|state, _| state.is_ready());
+        if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+    });
+    let routes = Route::new().at("/v1/ready", get(ready));
+    tokio::spawn(readiness.serve(routes, std::future::pending(), Duration::ZERO));
+    let carrying = Arc::clone(&shell);
+    let service = endpoint::make(move |request| {
+        let shell = Arc::clone(&carrying);
+        async move { Ok::<_, poem::Error>(front::serve(shell, request).await) }
+    });
+    let mut terminate = signal(SignalKind::terminate()).map_err(FleetRunError::Signal)?;
+    let grace = shell.settings.grace.0;
+    let open = grace.mul_f64(OPEN_SHARE);
+    let stopping = Arc::clone(&shell);
+    let stop = async move {
+        terminate.recv().await;
+        stopping.note(&FleetNote::Stopping);
+        stopping.apply(EntryEvent::Stop);
+        sleep(open).await;
+        stopping.decide(|state, _| state.close_desk());
+    };
+    callers.serve(service, stop, grace.saturating_sub(open + GRACE_LEFT)).await;
+    shell.note(&FleetNote::Stopped);
+    Ok(())
+}
+
+async fn take_in(shell: Arc<EntryShell>, mut inbox: UnboundedReceiver<PeerEnvelope>) {
+    while let Some(envelope) = inbox.recv().await {
+        shell.apply(EntryEvent::Peer(Box::new(envelope)));
+    }
+}
+
+async fn tick(shell: Arc<EntryShell>) {
+    let mut ticks = interval(TICK_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        shell.apply(EntryEvent::Tick);
+    }
+}
+
+async fn sweep(shell: Arc<EntryShell>) {
+    let mut ticks = interval(SWEEP_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        shell.pool.sweep();
+        let (change, version) = shell.decide(|state, _| (state.change(), state.desk.version()));
+        shell.metrics.set("change", change as i64);
+        shell.metrics.set("table_version", version.unwrap_or(0) as i64);
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/target_pool.rs
@@ -0,0 +1,159 @@
+/*!
+Connections to targets.
+
+A connection carries one request at a time. It is kept only after an answer that was whole and that
+belongs to its request, and only for as long as the target surely keeps it too. A request that must
+not run twice gets a connection of its own: on a kept one, bytes that the target never read look the
+same as a request that it ran.
+*/
+
+use {
+    super::peer_link::bound_silence,
+    bytes::Bytes,
+    hemlockspool_core::traffic::job::TargetOrder,
+    hemlockspool_model::names::TargetName,
+    http_body_util::Full,
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::http1::{Builder, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        collections::BTreeMap,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        task::AbortHandle,
+        time::{Instant, timeout},
+    },
+};
+
+/// For how long a connection is kept without use, unless its target says less. Targets close idle
+/// connections after some seconds, and some forget them sooner.
+const KEEP: Duration = Duration::from_millis(3_000);
+/// The part of a target's own idle timeout that is used.
+const KEEP_SHARE: f64 = 0.5;
+/// Connections kept for one target.
+const KEPT_MAX: usize = 8;
+/// How long sent bytes may stay unacknowledged.
+const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+
+/// A connection; dropping it closes it, and with it what the target does for it.
+#[derive(Debug)]
+pub(crate) struct TargetConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct KeptConnection {
+    connection: TargetConnection,
+    until: Instant,
+}
+
+/// What sending came to.
+#[derive(Debug)]
+pub(crate) enum SendEnd {
+    /// The head of an answer, with the connection that its body comes on.
+    Head(Response<Incoming>, TargetConnection),
+    /// No connection could be made; nothing was sent.
+    NotSent,
+    /// The connection ended after something may have been sent.
+    Broken,
+}
+
+/// Connections kept for later requests.
+#[derive(Debug, Default)]
+pub(crate) struct TargetPool {
+    kept: Mutex<BTreeMap<TargetName, Vec<KeptConnection>>>,
+}
+
+impl TargetPool {
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(&self, order: &TargetOrder, request: Request<Full<Bytes>>) -> SendEnd {
+        let mut request = request;
+        while let Some(mut connection) = self.take(order) {
+            match connection.sender.try_send_request(request).await {
+                Ok(head) => return SendEnd::Head(head, connection),
+                Err(mut error) => match error.take_message() {
+                    // It closed before anything was written.
+                    Some(unsent) => request = unsent,
+                    None => return SendEnd::Broken,
+                },
+            }
+        }
+        let Some(mut connection) = connect(order).await else {
+            return SendEnd::NotSent;
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(head) => SendEnd::Head(head, connection),
+            Err(mut error) => match error.take_message() {
+                Some(_) => SendEnd::NotSent,
+                None => SendEnd::Broken,
+            },
+        }
+    }
+
+    fn take(&self, order: &TargetOrder) -> Option<TargetConnection> {
+        if order.fresh {
+            return None;
+        }
+        let now = Instant::now();
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = kept.get_mut(&order.target)?;
+        line.retain(|one| one.until > now && one.connection.sender.is_ready());
+        line.pop().map(|one| one.connection)
+    }
+
+    /// Keeps a connection whose answer was whole.
+    ///
+    /// `idle_timeout` is what the target says of its own.
+    pub(crate) fn keep(
+        &self,
+        target: &TargetName,
+        connection: TargetConnection,
+        idle_timeout: Option<Duration>,
+    ) {
+        let span = idle_timeout.map_or(KEEP, |span| KEEP.min(span.mul_f64(KEEP_SHARE)));
+        if connection.sender.is_closed() || span.is_zero() {
+            return;
+        }
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = kept.entry(target.clone()).or_default();
+        if line.len() < KEPT_MAX {
+            line.push(KeptConnection { connection, until: Instant::now() + span });
+        }
+    }
+
+    /// Closes connections that were kept for long enough.
+    pub(crate) fn sweep(&self) {
+        let now = Instant::now();
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.retain(|_, line| {
+            line.retain(|one| one.until > now && !one.connection.sender.is_closed());
+            !line.is_empty()
+        });
+    }
+}
+
+async fn connect(order: &TargetOrder) -> Option<TargetConnection> {
+    let stream = timeout(order.connect_patience, TcpStream::connect(order.address)).await;
+    let stream = stream.ok()?.ok()?;
+    bound_silence(&stream, SILENCE_MAX);
+    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.ok()?;
+    let task = tokio::spawn(async move {
+        // The request that the connection carries learns of a failure by itself.
+        let _ = connection.await;
+    });
+    Some(TargetConnection { sender, task: task.abort_handle() })
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,9 @@
 One daemon for all roles: an instance with a data folder also holds a replica of the log. The shell
 turns the world into events, hands them to the reducer one at a time, and turns effects into deeds.
 
+`hemlockspoold --settings FILE` runs an instance whose targets are declared; `hemlockspoold entry` and
+`hemlockspoold replica` run instances whose targets are found at run time, which [`fleet`] has.
+
 * [`settings`] reads and checks the settings file.
 * [`shell`] holds the reducer's state and performs effects.
 * [`disk`] stores the replicated log; [`peer_net`] carries messages between instances.
@@ -15,6 +18,7 @@
 mod carriage;
 mod disk;
 mod events;
+mod fleet;
 mod http;
 mod link_stream;
 mod metrics;
@@ -26,10 +30,12 @@
 mod wall_clock;
 
 use {
-    clap::{Arg, ArgAction, Command, value_parser},
-    miette::{IntoDiagnostic, Report},
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    fleet::{FleetRole, FleetSettings, run_entry, run_replica},
+    miette::{Diagnostic, IntoDiagnostic, Report},
     settings::DaemonSettings,
     std::{path::PathBuf, process::ExitCode},
+    tokio::runtime::Builder,
 };
 
 /// The exit code for settings that can't be used.
@@ -39,7 +45,15 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let path: &PathBuf = matches.get_one("settings").expect("the argument is required");
+    match matches.subcommand() {
+        Some(("entry", matches)) => run_fleet(matches, FleetRole::Entry),
+        Some(("replica", matches)) => run_fleet(matches, FleetRole::Replica),
+        _ => run_declared(&matches),
+    }
+}
+
+fn run_declared(matches: &ArgMatches) -> ExitCode {
+    let path = settings_path(matches);
     let settings = match DaemonSettings::load(path) {
         Ok(settings) => settings,
         Err(error) => return fail(Report::new(error), EXIT_SETTINGS),
@@ -48,18 +62,51 @@
         println!("{}: settings are good", path.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    block_on(Builder::new_multi_thread(), run::run(settings))
+}
+
+/// Runs an instance of a fleet, on one thread: its machines have a part of a core each.
+fn run_fleet(matches: &ArgMatches, role: FleetRole) -> ExitCode {
+    let path = settings_path(matches);
+    let settings = match FleetSettings::load(path, role) {
+        Ok(settings) => settings,
+        Err(error) => return fail(Report::new(error), EXIT_SETTINGS),
+    };
+    if matches.get_flag("check") {
+        println!("{}: settings are good", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match role {
+        FleetRole::Entry => {
+            block_on(Builder::new_current_thread(), run_entry(settings, path.clone()))
+        }
+        FleetRole::Replica => {
+            block_on(Builder::new_current_thread(), run_replica(settings, path.clone()))
+        }
+    }
+}
+
+fn block_on<E, F>(mut builder: Builder, run: F) -> ExitCode
+where
+    E: Diagnostic + Send + Sync + 'static,
+    F: Future<Output = Result<(), E>>,
+{
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             return fail(Err::<(), _>(error).into_diagnostic().unwrap_err(), EXIT_FAILED);
         }
     };
-    match runtime.block_on(run::run(settings)) {
+    match runtime.block_on(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(Report::new(error), EXIT_FAILED),
     }
 }
 
+fn settings_path(matches: &ArgMatches) -> &PathBuf {
+    matches.get_one("settings").expect("the argument is required")
+}
+
 fn command() -> Command {
     let settings = Arg::new("settings")
         .long("settings")
@@ -69,10 +116,16 @@
         .help("The settings, in JSON");
     let check =
         Arg::new("check").long("check").action(ArgAction::SetTrue).help("Only checks the settings");
+    let args = [settings, check];
+    let entry =
+        Command::new("entry").about("Carries callers' requests to targets found at run time");
+    let replica = Command::new("replica").about("Holds the log; serves operators and look-ups");
     Command::new("hemlockspoold")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Steers callers to targets across regions and failure domains")
-        .args([settings, check])
+        .args(args.clone())
+        .subcommand_negates_reqs(true)
+        .subcommands([entry.args(args.clone()), replica.args(args)])
 }
 
 fn fail(report: Report, code: u8) -> ExitCode {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -217,6 +217,8 @@
             }
             NodeEffect::Note(note) => events::write(&note),
             NodeEffect::ConfigChanged => {}
+            // Asked for only where targets are found at run time.
+            NodeEffect::ProbePath { .. } | NodeEffect::ReadList | NodeEffect::FleetNote(_) => {}
         }
     }
 }
