An object stays with its targets, also when they are full

Change: the first two targets of an object's ranking and no others; no unplanned move to another region; a route's work is a low quantile of the measured times; the spill starts from half of what equal demand would ask for, which also keeps the first windows within the bound of change.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -47,8 +47,11 @@
 const ATTEMPT_WORKS: f64 = 8.0;
 /// The part of the goal that a route's work is taken to be before any was measured.
 const WORK_OF_GOAL: f64 = 0.4;
-/// The weight of a new measurement of a route's work.
-const WORK_WEIGHT: f64 = 0.05;
+/// The quantile of measured times that counts as a route's work: that of requests whose object is
+/// warm, also while many are not.
+const WORK_QUANTILE: f64 = 0.3;
+/// The relative step of that quantile at each measurement.
+const WORK_STEP: f64 = 0.05;
 /// The time over which the rate of requests is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(1_500);
 /// How long a service's targets stay cold when the table doesn't say.
@@ -608,7 +611,8 @@
             (status < 300, usual, self.work.get_mut(&job.plan.name))
         {
             let took_ms = took.as_secs_f64() * 1_000.0;
-            work.work_ms += WORK_WEIGHT * (took_ms - work.work_ms);
+            let weight = if took_ms > work.work_ms { WORK_QUANTILE } else { WORK_QUANTILE - 1.0 };
+            work.work_ms *= 1.0 + WORK_STEP * weight;
         }
     }
 
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -16,8 +16,9 @@
     },
 };
 
-/// Targets of a region that are tried in the order of their rank before the least loaded one.
-const RANKED: usize = 2;
+/// The part of its slots that the second target of an object may have in use: work on an object that
+/// is new to a target takes several times as long, and pushes out other objects.
+const SECOND_LOAD: f64 = 0.6;
 /// The part of the time to spare that a request may wait at a target, for each rank.
 const QUEUE_BY_RANK: [f64; 3] = [0.9, 0.6, 0.35];
 /// The most rounds of work that a request waits at a target.
@@ -67,7 +68,11 @@
         for (_, pool) in pools {
             match self.choose_in(job, pool) {
                 Ok(choice) => return Ok(choice),
-                Err(PlacementGap::Full) => gap = PlacementGap::Full,
+                // Other regions help out by plan, not when a region happens to be full.
+                Err(PlacementGap::Full) => {
+                    gap = PlacementGap::Full;
+                    break;
+                }
                 Err(PlacementGap::None) => {}
             }
         }
@@ -97,18 +102,19 @@
         };
         let choice =
             |name: &TargetName, load| TargetChoice { target: name.clone(), load, is_cold: false };
-        for (_, name, record) in ranked.iter().take(RANKED) {
-            if let Some(load) = room(record) {
-                return Ok(choice(name, load));
+        let (_, first, record) = ranked[0];
+        if let Some(load) = room(record) {
+            return Ok(choice(first, load));
+        }
+        // An object stays with its targets also when they are full: spread over all of them, the
+        // work on cold objects would fill the whole region.
+        if let Some((_, second, record)) = ranked.get(1) {
+            let load = record.load(self.now);
+            if load < SECOND_LOAD * f64::from(record.fact.slots) && !record.is_full(self.now) {
+                return Ok(choice(second, load));
             }
         }
-        let relative =
-            |record: &TargetRecord, load: f64| load / f64::from(record.fact.slots.max(1));
-        let rest = ranked.iter().skip(RANKED);
-        let least = rest
-            .filter_map(|(_, name, record)| Some((name, record, room(record)?)))
-            .min_by(|a, b| relative(a.1, a.2).total_cmp(&relative(b.1, b.2)));
-        least.map(|(name, _, load)| choice(name, load)).ok_or(PlacementGap::Full)
+        Err(PlacementGap::Full)
     }
 
     fn choose_cold(&self, job: &RequestJob, pool: &[TargetName]) -> Option<TargetChoice> {
--- a/crates/core/src/traffic/spill.rs
+++ b/crates/core/src/traffic/spill.rs
@@ -17,15 +17,16 @@
 /// The utilisation up to which a region keeps its own work, if others have room for the rest.
 const KEEP_UTILISATION: f64 = 0.7;
 /// The change of the share per second: two windows of 2 s then differ by a good half of the bound.
-const PACE_PER_S: f64 = 0.045;
+const PACE_PER_S: f64 = 0.055;
 /// The change of the share per second after a region has lost or regained targets.
 const PACE_AFTER_LOSS_PER_S: f64 = 0.5;
 /// The change of a region's slots that counts as a loss or gain.
 const LOSS_SHARE: f64 = 0.08;
 /// For how long after such a change the share follows fast.
 const LOSS_FOR: Duration = Duration::from_secs(4);
-/// For how long after its first request the share is set at once.
-const START_FOR: Duration = Duration::from_millis(1_000);
+/// The part of the share that equal demand in all regions would ask for, with which an entry starts:
+/// demand isn't known then, and a share that is half right is reached from either side.
+const START_PART: f64 = 0.5;
 /// How much a debt of one request moves the threshold.
 const DEBT_GAIN: f64 = 0.06;
 /// The largest debt, in requests.
@@ -69,11 +70,19 @@
         self.note_slots(own, now);
         let span = self.updated.map_or(Duration::ZERO, |at| now.since(at));
         self.updated = Some(now);
-        let starting = self.started.is_none_or(|at| now.since(at) < START_FOR);
-        if starting || own <= 0.0 {
+        if own <= 0.0 {
             self.share = wanted;
             return;
         }
+        if self.started.is_none() {
+            let mean = slots.values().sum::<f64>() / slots.len().max(1) as f64;
+            self.share = START_PART * (1.0 - own / mean).max(0.0);
+            if self.weights.is_empty() {
+                let others = slots.iter().filter(|(region, _)| *region != home);
+                self.weights = others.map(|(region, own)| (region.clone(), *own)).collect();
+            }
+            return;
+        }
         let after_loss = self.loss_until.is_some_and(|until| now < until);
         let pace = if after_loss { PACE_AFTER_LOSS_PER_S } else { PACE_PER_S };
         let step = pace * span.as_secs_f64();
