Targets that fail many requests come last instead of never; replicas that restart elect sooner

Change: failing targets are ranked after all others; a fleet's replicas, of which none reads by a leader's lease, stand for election 0.2 to 0.8 s after their start. The log also has the replicas' notes.

--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -27,6 +27,10 @@
     },
 };
 
+/// How long a replica that starts early waits for a leader: a heartbeat and a far round trip.
+const RESTART_MIN: Duration = Duration::from_millis(200);
+/// The random part added to [`RESTART_MIN`].
+const RESTART_SPREAD: Duration = Duration::from_millis(600);
 /// Replicas outside of the known sets that are remembered.
 const CONTACTS_MAX: usize = 32;
 
@@ -285,6 +289,15 @@
         self.leader.is_some() && now.since(self.leader_heard) < within
     }
 
+    /// Lets a replica that has just started take part in an election soon. Only for groups in which
+    /// nothing is read by a leader's lease: there, nobody relies on its having heard from a leader.
+    pub(crate) fn start_early(&mut self, now: Moment) {
+        self.leader_heard = Moment(0);
+        let spread = RESTART_SPREAD.as_micros() as u64;
+        let extra = Duration::from_micros(self.random.random_range(0..spread));
+        self.election_due = now.after(RESTART_MIN + extra);
+    }
+
     /// Moves time on: elections, heartbeats, and stepping down without a quorum.
     pub fn tick(&mut self, now: Moment) -> Vec<ConsensusEffect> {
         if self.is_leader() {
--- a/crates/core/src/fleet/control.rs
+++ b/crates/core/src/fleet/control.rs
@@ -148,7 +148,7 @@
     /// Makes the state of a replica that starts.
     pub fn new(parts: ControlParts, now: Moment) -> Self {
         let ControlParts { identity, place, seeds, mut replica, list_calls_per_s } = parts;
-        replica.keep_votes_manual();
+        replica.serve_fleet(now);
         Self {
             submits: SubmitBook::new(identity.incarnation),
             identity,
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -166,9 +166,10 @@
         effects
     }
 
-    /// Leaves it to the caller which learners get votes.
-    pub(crate) fn keep_votes_manual(&mut self) {
+    /// Leaves it to the caller which learners get votes, and reads nothing by a leader's lease.
+    pub(crate) fn serve_fleet(&mut self, now: Moment) {
         self.group.promotes = false;
+        self.group.start_early(now);
     }
 
     /// Starts a deployment whose first voters are known beforehand.
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -11,6 +11,7 @@
     },
     hemlockspool_model::names::{DomainName, RegionName, TargetName},
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
     },
@@ -23,7 +24,7 @@
 const QUEUE_BY_RANK: [f64; 3] = [0.9, 0.6, 0.35];
 /// The most rounds of work that a request waits at a target.
 const QUEUE_ROUNDS_MAX: f64 = 1.0;
-/// From which share of failed requests on a target gets only trials.
+/// From which share of failed requests on a target comes after all others.
 const FAILING: f64 = 0.25;
 /// One in this many requests tries a target that fails many.
 const TRIAL_ONE_IN: u64 = 24;
@@ -94,7 +95,12 @@
         if ranked.is_empty() {
             return Err(PlacementGap::None);
         }
-        ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+        // Targets that fail many requests come last, unless it is their turn for a trial.
+        let fails = |name: &TargetName, record: &TargetRecord| {
+            let trial = affinity(job.arrived.0, name) % TRIAL_ONE_IN == 0;
+            record.failing >= FAILING && !trial
+        };
+        ranked.sort_unstable_by_key(|(rank, name, record)| (fails(name, record), Reverse(*rank)));
         let room = |record: &TargetRecord| {
             let load = record.load(self.now);
             let limit = self.limit(job, record.fact.slots);
@@ -130,11 +136,9 @@
     }
 
     fn is_open(&self, job: &RequestJob, name: &TargetName, record: &TargetRecord) -> bool {
-        let trial = || affinity(job.arrived.0, name) % TRIAL_ONE_IN == 0;
         record.is_eligible()
             && !self.evacuated.contains(&record.fact.domain)
             && !job.tried.contains(name)
-            && (record.failing < FAILING || trial())
     }
 
     /// Returns how many requests a target may hold for one more to be in time there.
--- a/crates/node/src/fleet/decision_log.rs
+++ b/crates/node/src/fleet/decision_log.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::wall_clock::wall_ms,
-    hemlockspool_core::fleet::notes::FleetNote,
+    hemlockspool_core::{fleet::notes::FleetNote, notes::NodeNote},
     serde::Serialize,
     std::{
         io::{self, Write},
@@ -36,7 +36,14 @@
     /// The number of the event.
     code: u16,
     instance: &'a str,
-    detail: &'a FleetNote,
+    detail: LineDetail<'a>,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum LineDetail<'a> {
+    Fleet(&'a FleetNote),
+    Node { event: String },
 }
 
 /// How many lines of one sort may still be written.
@@ -109,7 +116,7 @@
         let now = Instant::now();
         let sort = if note.is_routine() { &mut state.routine } else { &mut state.notable };
         if sort.take(now) {
-            self.put(&mut state, note);
+            self.put(&mut state, note.code(), LineDetail::Fleet(note));
         } else {
             state.dropped += 1;
         }
@@ -119,13 +126,24 @@
             let lines = dropped - state.reported;
             state.reported = dropped;
             state.reported_at = now;
-            self.put(&mut state, &FleetNote::LinesDropped { lines });
+            let note = FleetNote::LinesDropped { lines };
+            self.put(&mut state, note.code(), LineDetail::Fleet(&note));
+        }
+    }
+
+    /// Writes a line about the replicated log.
+    pub(crate) fn write_node(&self, note: &NodeNote) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.notable.take(Instant::now()) {
+            let event = note.to_string();
+            self.put(&mut state, note.code(), LineDetail::Node { event });
+        } else {
+            state.dropped += 1;
         }
     }
 
-    fn put(&self, state: &mut LogState, note: &FleetNote) {
-        let line =
-            LogLine { at_ms: wall_ms(), code: note.code(), instance: &self.instance, detail: note };
+    fn put(&self, state: &mut LogState, code: u16, detail: LineDetail<'_>) {
+        let line = LogLine { at_ms: wall_ms(), code, instance: &self.instance, detail };
         let mut bytes = serde_json::to_vec(&line).expect("a note has no types that JSON lacks");
         bytes.push(b'\n');
         // The writer never fails: what doesn't fit is dropped and counted.
--- a/crates/node/src/fleet/replica_shell.rs
+++ b/crates/node/src/fleet/replica_shell.rs
@@ -10,7 +10,7 @@
         decision_log::DecisionLog, fleet_metrics::FleetMetrics, list_reader, peer_link::PeerLinks,
         settings::FleetSettings,
     },
-    crate::{disk::LogWriter, events, shell::moment_since, wall_clock::wall_ms},
+    crate::{disk::LogWriter, shell::moment_since, wall_clock::wall_ms},
     hemlockspool_core::{
         clock::{ClockReading, Moment},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
@@ -155,7 +155,7 @@
             NodeEffect::ReadList => {
                 tokio::spawn(read_list(Arc::clone(self)));
             }
-            NodeEffect::Note(note) => events::write(&note),
+            NodeEffect::Note(note) => self.parts.log.write_node(&note),
             NodeEffect::FleetNote(note) => self.note(&note),
             // A replica carries no requests and has no declared objects.
             _ => {}
