Requests of loaded targets spill first; no attempt is given up before its time; the list is read each second

Change: an attempt has all of the time that is left; silent connections are found by unacknowledged bytes alone. Which requests go to another region also depends on the load of their own target, the balance keeps the share; demand counts mean work.

--- a/crates/core/src/fleet/control.rs
+++ b/crates/core/src/fleet/control.rs
@@ -45,12 +45,15 @@
 const ORDER_PATIENCE: Duration = Duration::from_millis(950);
 /// For how long a replica that heard from the leader counts as current: several heartbeats.
 const CURRENT_FOR: Duration = Duration::from_millis(1_000);
-/// The time between two readings of the list by the leader, if the platform allows it.
-const LIST_EVERY: Duration = Duration::from_millis(500);
+/// The time between two readings of the list by the leader, if the platform allows it: a third of
+/// the time after which a target that leaves must get nothing more.
+const LIST_EVERY: Duration = Duration::from_millis(1_000);
 /// From which age of the list on a replica that doesn't lead reads it.
-const LIST_STALE: Duration = Duration::from_millis(1_200);
+const LIST_STALE: Duration = Duration::from_millis(1_500);
+/// The time over which replicas that don't lead stand in one after another, in milliseconds.
+const LIST_TURNS_MS: u64 = 400;
 /// The share of the platform's call rate that one reader uses, so that a second reader fits.
-const LIST_RATE_SHARE: f64 = 0.4;
+const LIST_RATE_SHARE: f64 = 0.25;
 /// How long a reading may take before another is tried.
 const LIST_PATIENCE: Duration = Duration::from_secs(3);
 /// The time between pulses to other replicas.
@@ -316,7 +319,9 @@
         }
         let leads = self.replica.group().is_leader() && self.is_current(now);
         // Replicas that don't lead stand in one after another.
-        let turn = Duration::from_millis(stable_hash(self.identity.name.as_str().as_bytes()) % 600);
+        let turn = Duration::from_millis(
+            stable_hash(self.identity.name.as_str().as_bytes()) % LIST_TURNS_MS,
+        );
         let stale = self.roster.age(now).is_none_or(|age| age > LIST_STALE + turn);
         if !leads && !stale {
             return Vec::new();
--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -18,7 +18,7 @@
                 AttemptEnd, JobOrder, RefusalReason, RequestHead, RequestJob, RequestRefusal,
                 TargetOrder,
             },
-            placement::{PlacementGap, PlacementView, TargetChoice},
+            placement::{PlacementGap, PlacementView, TargetChoice, affinity},
             spill::SpillPlan,
         },
         util::stable_hash,
@@ -41,10 +41,6 @@
 const CONNECT_PATIENCE: Duration = Duration::from_millis(400);
 /// Connections that may fail for one request.
 const MISSES_MAX: u32 = 3;
-/// The part of the time left that the first attempt of a repeatable request gets.
-const FIRST_ATTEMPT_SHARE: f64 = 0.5;
-/// How many times the usual work an attempt gets at least.
-const ATTEMPT_WORKS: f64 = 8.0;
 /// The part of the goal that a route's work is taken to be before any was measured.
 const WORK_OF_GOAL: f64 = 0.4;
 /// The quantile of measured times that counts as a route's work: that of requests whose object is
@@ -52,6 +48,11 @@
 const WORK_QUANTILE: f64 = 0.3;
 /// The relative step of that quantile at each measurement.
 const WORK_STEP: f64 = 0.05;
+/// The weight of a new measurement of a route's mean work.
+const MEAN_WEIGHT: f64 = 0.03;
+/// How many times the warm work a measurement counts at most: planning for cold objects would ask
+/// for slots that nobody needs once they are warm.
+const MEAN_WORKS_MAX: f64 = 2.0;
 /// The time over which the rate of requests is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(1_500);
 /// How long a service's targets stay cold when the table doesn't say.
@@ -83,7 +84,10 @@
 struct RouteWork {
     arrivals: u32,
     rate_per_s: f64,
+    /// The work on a warm object.
     work_ms: f64,
+    /// The mean of all work.
+    mean_ms: f64,
 }
 
 /// Requests and targets of one entry.
@@ -213,7 +217,7 @@
     pub fn own_demand(&self) -> BTreeMap<ServiceName, f32> {
         let mut demand: BTreeMap<ServiceName, f32> = BTreeMap::new();
         for (service, work) in self.work.values() {
-            let slots = work.rate_per_s * work.work_ms / 1_000.0;
+            let slots = work.rate_per_s * work.mean_ms / 1_000.0;
             *demand.entry(service.clone()).or_default() += slots as f32;
         }
         demand
@@ -313,7 +317,9 @@
             Some(key) => stable_hash(key.as_bytes()),
             None => stable_hash(&self.draws.to_le_bytes()),
         };
-        let region = self.spills.get_mut(&service).and_then(|plan| plan.draw(key, now));
+        let pressure = self.pressure(&service, key, now);
+        let region = self.spills.get_mut(&service);
+        let region = region.and_then(|plan| plan.draw(key, pressure, now));
         let patience = head.patience.unwrap_or(plan.timeout).min(plan.timeout);
         Ok(RequestJob {
             id: head.id.to_owned(),
@@ -394,7 +400,8 @@
 
     fn count_arrival(&mut self, plan: &RoutePlan, service: &ServiceName) {
         let goal_ms = plan.goal.as_secs_f64() * 1_000.0;
-        let fresh = RouteWork { work_ms: WORK_OF_GOAL * goal_ms, ..RouteWork::default() };
+        let work_ms = WORK_OF_GOAL * goal_ms;
+        let fresh = RouteWork { work_ms, mean_ms: work_ms, ..RouteWork::default() };
         let line = self.work.entry(plan.name.clone()).or_insert((service.clone(), fresh));
         line.0 = service.clone();
         line.1.arrivals += 1;
@@ -471,6 +478,18 @@
         view.choose(job, &order)
     }
 
+    /// Returns the load of the target that an object has in the entry's own region, in parts of its
+    /// slots.
+    fn pressure(&self, service: &ServiceName, key: u64, now: Moment) -> f64 {
+        let pool = self.pools.get(service).and_then(|pools| pools.get(&self.settings.region));
+        let records = pool.into_iter().flatten().filter_map(|name| {
+            let record = self.records.get(name)?;
+            (record.is_eligible() && !record.is_cold(now)).then_some((name, record))
+        });
+        let first = records.max_by_key(|(name, _)| affinity(key, name));
+        first.map_or(0.0, |(_, record)| record.load(now) / f64::from(record.fact.slots.max(1)))
+    }
+
     fn work_ms(&self, plan: &RoutePlan) -> f64 {
         self.work.get(&plan.name).map_or(0.0, |(_, work)| work.work_ms)
     }
@@ -488,11 +507,7 @@
         }
         job.tried.push(target.clone());
         let left = job.deadline.since(now);
-        let repeatable = job.plan.repeat == RepeatRule::Safe;
-        let more = job.may_repeat();
-        let works = Duration::from_secs_f64(ATTEMPT_WORKS * self.work_ms(&job.plan) / 1_000.0);
-        let patience =
-            if more { left.mul_f64(FIRST_ATTEMPT_SHARE).max(works).min(left) } else { left };
+        let fresh = job.plan.repeat == RepeatRule::Never;
         self.notes.push(FleetNote::RequestSent {
             request: job.id.clone(),
             route: job.plan.name.clone(),
@@ -504,7 +519,7 @@
             version: self.version.unwrap_or(0),
         });
         let connect_patience = CONNECT_PATIENCE.min(left);
-        TargetOrder { target, address, connect_patience, patience, left, fresh: !repeatable }
+        TargetOrder { target, address, connect_patience, left, fresh }
     }
 
     fn refuse(&mut self, job: &RequestJob, reason: RefusalReason, now: Moment) -> RequestRefusal {
@@ -613,6 +628,8 @@
             let took_ms = took.as_secs_f64() * 1_000.0;
             let weight = if took_ms > work.work_ms { WORK_QUANTILE } else { WORK_QUANTILE - 1.0 };
             work.work_ms *= 1.0 + WORK_STEP * weight;
+            let counted_ms = took_ms.min(MEAN_WORKS_MAX * work.work_ms);
+            work.mean_ms += MEAN_WEIGHT * (counted_ms - work.mean_ms);
         }
     }
 
--- a/crates/core/src/traffic/job.rs
+++ b/crates/core/src/traffic/job.rs
@@ -71,9 +71,7 @@
     pub address: SocketAddr,
     /// How long a connection to it may take.
     pub connect_patience: Duration,
-    /// After how long without an answer the attempt is given up.
-    pub patience: Duration,
-    /// What the target is told that is left of the caller's time.
+    /// What is left of the caller's time; the target is told, and the attempt ends with it.
     pub left: Duration,
     /// Whether only a connection that was made for it may carry it.
     pub fresh: bool,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -152,7 +152,7 @@
 }
 
 /// Returns the rank of a target for an object.
-fn affinity(key: u64, target: &TargetName) -> u64 {
+pub(crate) fn affinity(key: u64, target: &TargetName) -> u64 {
     let mut bytes = Vec::with_capacity(8 + target.as_str().len());
     bytes.extend_from_slice(&key.to_le_bytes());
     bytes.extend_from_slice(target.as_str().as_bytes());
--- a/crates/core/src/traffic/spill.rs
+++ b/crates/core/src/traffic/spill.rs
@@ -27,6 +27,15 @@
 /// The part of the share that equal demand in all regions would ask for, with which an entry starts:
 /// demand isn't known then, and a share that is half right is reached from either side.
 const START_PART: f64 = 0.5;
+/// For how long after its first request the share stays: demand is measured over seconds.
+const START_HOLD: Duration = Duration::from_millis(2_500);
+/// How much a target's load, in parts of its slots, counts for sending its requests elsewhere first.
+const PRESSURE_GAIN: f64 = 0.5;
+/// The load, in parts of the slots, that counts neither for nor against.
+const PRESSURE_EVEN: f64 = 0.6;
+/// The share that may go elsewhere beyond the plan, of requests whose own target is full: small
+/// against the bound of change.
+const OVERFLOW_SHARE: f64 = 0.04;
 /// How much a debt of one request moves the threshold.
 const DEBT_GAIN: f64 = 0.06;
 /// The largest debt, in requests.
@@ -83,6 +92,9 @@
             }
             return;
         }
+        if self.started.is_some_and(|at| now.since(at) < START_HOLD) {
+            return;
+        }
         let after_loss = self.loss_until.is_some_and(|until| now < until);
         let pace = if after_loss { PACE_AFTER_LOSS_PER_S } else { PACE_PER_S };
         let step = pace * span.as_secs_f64();
@@ -100,16 +112,21 @@
     }
 
     /// Draws the region of a request; none for the entry's own.
-    pub fn draw(&mut self, key: u64, now: Moment) -> Option<RegionName> {
+    ///
+    /// `pressure` is the load of the target that would run it in the entry's own region, in parts of
+    /// its slots. Requests of loaded targets go first: the balance keeps the share all the same.
+    pub fn draw(&mut self, key: u64, pressure: f64, now: Moment) -> Option<RegionName> {
         self.started.get_or_insert(now);
-        if self.share <= 0.0 || self.weights.is_empty() {
-            self.debt = 0.0;
+        if self.weights.is_empty() {
             return None;
         }
+        let share = if pressure >= 1.0 { self.share.max(OVERFLOW_SHARE) } else { self.share };
         let place = unit(stable_hash(&key.to_le_bytes()));
-        let goes = place < self.share + DEBT_GAIN * self.debt;
+        let place = place - PRESSURE_GAIN * (pressure.min(2.0) - PRESSURE_EVEN);
+        let goes = share > 0.0 && place < share + DEBT_GAIN * self.debt;
         let taken = if goes { 1.0 } else { 0.0 };
-        self.debt = (self.debt + self.share - taken).clamp(-DEBT_MAX, DEBT_MAX);
+        let planned = self.share.max(OVERFLOW_SHARE);
+        self.debt = (self.debt + planned - taken).clamp(-DEBT_MAX, DEBT_MAX);
         if goes { self.region_of(key) } else { None }
     }
 
--- a/crates/node/src/fleet/front.rs
+++ b/crates/node/src/fleet/front.rs
@@ -149,7 +149,7 @@
     let began = shell.now();
     let guard = AttemptGuard { shell, job, target: &order.target, began, open: true };
     let exchange = exchange(shell, order, carried, &id);
-    let (end, answer) = match timeout(order.patience, exchange).await {
+    let (end, answer) = match timeout(order.left, exchange).await {
         Ok((end, answer)) => (end, answer),
         Err(_) => (AttemptEnd::Silent, None),
     };
--- a/crates/node/src/fleet/target_pool.rs
+++ b/crates/node/src/fleet/target_pool.rs
@@ -38,8 +38,9 @@
 const KEEP_SHARE: f64 = 0.5;
 /// Connections kept for one target.
 const KEPT_MAX: usize = 8;
-/// How long sent bytes may stay unacknowledged.
-const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+/// How long sent bytes may stay unacknowledged: a few resends in the farthest region. A kept
+/// connection that has gone silent is found out by this, and a request may be repeated in time.
+const SILENCE_MAX: Duration = Duration::from_millis(1_000);
 
 /// A connection; dropping it closes it, and with it what the target does for it.
 #[derive(Debug)]
