Entries share what targets tell of their load; callers spread over the region when links are tight

Change: pulses carry what targets told, replies name the busy targets of the region; pulses carry the use of the link, and look-ups name the region's entries where a domain's links are over 45% used.

--- a/crates/core/src/fleet/census.rs
+++ b/crates/core/src/fleet/census.rs
@@ -9,7 +9,11 @@
         util::stable_hash,
     },
     hemlockspool_model::names::{DomainName, RegionName, ServiceName},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// For how long an entry that isn't heard of counts as living: three of its pulses.
@@ -19,6 +23,11 @@
 /// Entries of the caller's failure domain from which on no others are named: with fewer, callers
 /// would have nowhere to go while one of them is down.
 const NEAR_ENTRIES_ENOUGH: usize = 2;
+/// From which mean use of their links on, in percent, callers of a failure domain go to all entries
+/// of the region: a link of 3 Mbit/s holds an answer up noticeably from about there.
+const LINK_WIDE: u32 = 45;
+/// Below which mean use of the region's links, in percent, they go to their own domain's again.
+const LINK_NARROW: u32 = 30;
 
 /// What was last heard of an entry.
 #[derive(Clone, Debug)]
@@ -32,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EntryBook {
     entries: BTreeMap<SocketAddr, EntryRecord>,
+    /// Failure domains whose callers go to the whole region.
+    widened: BTreeSet<DomainName>,
 }
 
 impl EntryBook {
@@ -43,6 +54,29 @@
 
     pub(crate) fn tick(&mut self, now: Moment) {
         self.entries.retain(|_, record| now.since(record.heard) < ENTRY_LEASE);
+        let places: BTreeSet<InstancePlace> =
+            self.entries.values().map(|record| record.pulse.place.clone()).collect();
+        for InstancePlace { region, domain } in places {
+            if self.link_use(|place| place.domain == domain) >= LINK_WIDE {
+                self.widened.insert(domain);
+            } else if self.link_use(|place| place.region == region) < LINK_NARROW {
+                self.widened.remove(&domain);
+            }
+        }
+    }
+
+    /// Returns the mean use of the links of some entries, in percent.
+    fn link_use<F>(&self, fits: F) -> u32
+    where
+        F: Fn(&InstancePlace) -> bool,
+    {
+        let fitting = self.entries.values().filter(|record| fits(&record.pulse.place));
+        let (mut count, mut sum) = (0, 0);
+        for record in fitting {
+            count += 1;
+            sum += u32::from(record.pulse.link_percent);
+        }
+        if count == 0 { 0 } else { sum / count }
     }
 
     /// Returns the entries that follow this replica, with what they have.
@@ -94,7 +128,7 @@
         homes: &[RegionName],
     ) -> Vec<SocketAddr> {
         let near = self.fronts_where(|place| place.domain == *domain);
-        if near.len() >= NEAR_ENTRIES_ENOUGH {
+        if near.len() >= NEAR_ENTRIES_ENOUGH && !self.widened.contains(domain) {
             return near;
         }
         let regional = self.fronts_where(|place| place.region == *region);
--- a/crates/core/src/fleet/control.rs
+++ b/crates/core/src/fleet/control.rs
@@ -14,6 +14,7 @@
         effect::{NodeEffect, OperatorReply, ReplyTicket},
         fleet::{
             census::EntryBook,
+            loads::LoadBook,
             messages::{
                 EntryPulse, FleetMessage, InstancePlace, PublishedState, PulseReply, ReplicaPulse,
             },
@@ -108,6 +109,8 @@
     pub replica: ReplicaNode,
     /// Calls a second that the platform's list takes.
     pub list_calls_per_s: f64,
+    /// The region of each failure domain.
+    pub domains: BTreeMap<DomainName, RegionName>,
 }
 
 /// When the list is read.
@@ -128,6 +131,8 @@
     steward: ReplicaSteward,
     submits: SubmitBook,
     entries: EntryBook,
+    loads: LoadBook,
+    domains: BTreeMap<DomainName, RegionName>,
     roster: RosterBook,
     list: ListSchedule,
     list_calls_per_s: f64,
@@ -150,7 +155,7 @@
 impl ControlState {
     /// Makes the state of a replica that starts.
     pub fn new(parts: ControlParts, now: Moment) -> Self {
-        let ControlParts { identity, place, seeds, mut replica, list_calls_per_s } = parts;
+        let ControlParts { identity, place, seeds, mut replica, list_calls_per_s, domains } = parts;
         replica.serve_fleet(now);
         Self {
             submits: SubmitBook::new(identity.incarnation),
@@ -160,6 +165,8 @@
             replica,
             steward: ReplicaSteward::default(),
             entries: EntryBook::default(),
+            loads: LoadBook::default(),
+            domains,
             roster: RosterBook::default(),
             list: ListSchedule { due: now, asked: None, calls: 1 },
             list_calls_per_s,
@@ -243,6 +250,7 @@
             self.steward.step_down();
         }
         self.entries.tick(now);
+        self.loads.tick(now);
         let peers = self.order_peers();
         let (ended, sent) = self.submits.tick(&peers, now);
         effects.extend(sent);
@@ -440,6 +448,8 @@
 
     fn hear_entry(&mut self, peer: SocketAddr, pulse: EntryPulse, now: Moment) -> Vec<NodeEffect> {
         let (follows, echo, seen) = (pulse.follows, pulse.sent_at, pulse.census);
+        self.loads.hear(&pulse.loads, now);
+        let region = pulse.place.region.clone();
         self.entries.hear(peer, pulse, now);
         if !follows {
             return Vec::new();
@@ -452,6 +462,7 @@
             replicas: self.replica_peers().into_iter().collect(),
             census: (census.mark != seen).then_some(census),
             demand: self.entries.demand(),
+            busy: self.loads.busy(self.roster.targets(), &self.domains, &region, now),
         };
         vec![fleet_send(peer, FleetMessage::PulseReply(reply))]
     }
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -35,8 +35,9 @@
 
 /// The time between pulses to the replica that is followed.
 const FOLLOW_EVERY: Duration = Duration::from_millis(250);
-/// The time between pulses to the others.
-const PULSE_EVERY: Duration = Duration::from_millis(1_000);
+/// The time between pulses to the others: they also carry the loads of targets, which change within
+/// the time that a request takes.
+const PULSE_EVERY: Duration = Duration::from_millis(500);
 /// For how long a followed replica may stay silent, or not current, before another is tried.
 const REPLICA_PATIENCE: Duration = Duration::from_millis(700);
 /// From which age of the list on an entry reads it by itself.
@@ -292,6 +293,7 @@
     }
 
     fn pulse_to(&self, peer: SocketAddr, follows: bool, now: Moment) -> NodeEffect {
+        let span = if follows { FOLLOW_EVERY } else { PULSE_EVERY };
         let pulse = EntryPulse {
             front: self.front,
             place: self.place.clone(),
@@ -301,6 +303,8 @@
             roster: self.roster.mark(),
             census: self.census,
             demand: self.desk.own_demand(),
+            link_percent: self.desk.link_percent(),
+            loads: self.desk.loads_heard(span, now),
             sent_at: now,
         };
         fleet_send(peer, FleetMessage::EntryPulse(pulse))
@@ -375,6 +379,7 @@
             self.desk.set_census(&census);
         }
         self.desk.set_demand(reply.demand);
+        self.desk.set_busy(&reply.busy, now);
         effects
     }
 
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -10,8 +10,9 @@
         clock::Moment,
         consensus::ReplicaId,
         fleet::roster::{RosterMark, RosterUpdate},
+        util::stable_hash,
     },
-    hemlockspool_model::names::{DomainName, RegionName, ServiceName},
+    hemlockspool_model::names::{DomainName, RegionName, ServiceName, TargetName},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -71,10 +72,30 @@
     pub census: u64,
     /// The work that its own callers ask for, in busy slots of each service.
     pub demand: BTreeMap<ServiceName, f32>,
+    /// The part of its link that is in use, in percent.
+    pub link_percent: u8,
+    /// What targets told of their load since the last pulse to this replica.
+    pub loads: Vec<LoadLine>,
     /// Its clock, handed back in the reply.
     pub sent_at: Moment,
 }
 
+/// What a target told of its load.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadLine {
+    /// A hash of the target's name.
+    pub target: u32,
+    /// Requests that ran or waited there.
+    pub requests: u16,
+    /// How long ago, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// Returns the hash by which loads name a target.
+pub fn load_id(target: &TargetName) -> u32 {
+    stable_hash(target.as_str().as_bytes()) as u32
+}
+
 /// What a replica answers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PulseReply {
@@ -90,6 +111,8 @@
     pub census: Option<FleetCensus>,
     /// The demand of each region.
     pub demand: BTreeMap<RegionName, BTreeMap<ServiceName, f32>>,
+    /// The targets of the entry's region that have much to do.
+    pub busy: Vec<LoadLine>,
 }
 
 /// The entries that live, as a replica sees them.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -8,12 +8,14 @@
 * [`control`] is the state of a replica; `steward` keeps its group whole.
 * [`entry`] is the state of an entry; [`crate::traffic`] decides about requests.
 * [`census`] is who lives; [`roster`] is the list of targets; [`routes`] finds the route of a request.
+* `loads` gathers what targets tell of their load.
 * [`messages`] is what travels between them; [`notes`] is what they log.
 */
 
 pub mod census;
 pub mod control;
 pub mod entry;
+mod loads;
 pub mod messages;
 pub mod notes;
 pub mod roster;
--- a/crates/core/src/fleet/notes.rs
+++ b/crates/core/src/fleet/notes.rs
@@ -111,6 +111,8 @@
         route: RouteName,
         /// The service.
         service: ServiceName,
+        /// A hash of the object that it concerns.
+        object: u32,
         /// The target.
         target: TargetName,
         /// The attempt, from 1.
--- a/crates/core/src/traffic/board.rs
+++ b/crates/core/src/traffic/board.rs
@@ -19,7 +19,7 @@
 /// The half-life of what others were seen to have at a target.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// The weight of a new observation of others' requests.
-const OTHERS_WEIGHT: f64 = 0.5;
+const OTHERS_WEIGHT: f64 = 0.7;
 /// Failures in a row after which a target is left alone.
 const FAILS_MAX: u32 = 3;
 /// For how long a target is left alone at first; it doubles with each failed probe.
@@ -55,6 +55,8 @@
     pub own: u32,
     others: f64,
     others_at: Moment,
+    /// The load that the target last told this entry, and when.
+    pub heard: Option<(u16, Moment)>,
     pub full_until: Option<Moment>,
     pub fails: u32,
     /// The recent share of requests that it failed.
@@ -73,6 +75,7 @@
             own: 0,
             others: 0.0,
             others_at: now,
+            heard: None,
             full_until: None,
             fails: 0,
             failing: 0.0,
@@ -112,7 +115,9 @@
 
     pub fn hear_load(&mut self, load: TargetLoad, now: Moment) {
         // The answered request itself is counted neither here nor there.
-        let seen = f64::from((load.running + load.waiting).saturating_sub(self.own));
+        let requests = load.running + load.waiting;
+        self.heard = Some((requests as u16, now));
+        let seen = f64::from(requests.saturating_sub(self.own));
         let old = self.load(now) - f64::from(self.own);
         self.others = old + OTHERS_WEIGHT * (seen - old);
         self.others_at = now;
@@ -121,6 +126,15 @@
         }
     }
 
+    /// Takes in a load that the target told another entry.
+    pub fn hear_shared(&mut self, requests: u16, at: Moment) {
+        let newer = self.heard.is_none_or(|(_, heard)| heard < at) && self.others_at < at;
+        if newer {
+            self.others = f64::from(u32::from(requests).saturating_sub(self.own));
+            self.others_at = at;
+        }
+    }
+
     /// Notes that the target refused a request: for want of room, or in spite of room, which is a
     /// fault.
     pub fn hear_refusal(&mut self, load: Option<TargetLoad>, now: Moment) {
--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -6,7 +6,7 @@
     crate::{
         clock::Moment,
         fleet::{
-            messages::{FleetCensus, InstancePlace},
+            messages::{FleetCensus, InstancePlace, LoadLine, load_id},
             notes::FleetNote,
             roster::{TargetFact, TargetList},
             routes::{RouteIndex, RoutePlan},
@@ -18,6 +18,7 @@
                 AttemptEnd, JobOrder, RefusalReason, RequestHead, RequestJob, RequestRefusal,
                 TargetOrder,
             },
+            link_meter::LinkMeter,
             placement::{PlacementGap, PlacementView, TargetChoice, affinity},
             spill::SpillPlan,
         },
@@ -77,6 +78,8 @@
     pub domains: BTreeMap<DomainName, RegionName>,
     /// How many requests may be sent again.
     pub retry_bound: RetryBound,
+    /// What this entry's link carries each way, in bytes a second.
+    pub link_bytes_per_s: f64,
 }
 
 /// The work of one route, as this entry sees it.
@@ -99,6 +102,8 @@
     services: BTreeMap<ServiceName, ServiceRule>,
     records: BTreeMap<TargetName, TargetRecord>,
     pools: BTreeMap<ServiceName, BTreeMap<RegionName, Vec<TargetName>>>,
+    load_ids: BTreeMap<u32, TargetName>,
+    link: LinkMeter,
     evacuated: BTreeSet<DomainName>,
     entries: BTreeMap<SocketAddr, InstancePlace>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -115,6 +120,7 @@
 impl TrafficDesk {
     /// Makes a desk that knows nothing yet.
     pub fn new(settings: DeskSettings, now: Moment) -> Self {
+        let link = LinkMeter::new(settings.link_bytes_per_s);
         Self {
             settings,
             index: RouteIndex::default(),
@@ -122,6 +128,8 @@
             services: BTreeMap::new(),
             records: BTreeMap::new(),
             pools: BTreeMap::new(),
+            load_ids: BTreeMap::new(),
+            link,
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -191,6 +199,7 @@
                 }
             }
         }
+        self.load_ids = self.records.keys().map(|name| (load_id(name), name.clone())).collect();
         self.pools.clear();
         for (name, record) in &self.records {
             let pool = self.pools.entry(record.fact.service.clone()).or_default();
@@ -213,6 +222,37 @@
         self.demand = demand;
     }
 
+    /// Takes in which targets of the region have much to do.
+    pub fn set_busy(&mut self, busy: &[LoadLine], now: Moment) {
+        for line in busy {
+            let name = self.load_ids.get(&line.target);
+            if let Some(record) = name.and_then(|name| self.records.get_mut(name)) {
+                let at = Moment(now.0.saturating_sub(u64::from(line.age_ms) * 1_000));
+                record.hear_shared(line.requests, at);
+            }
+        }
+    }
+
+    /// Returns what targets told of their load within a time.
+    pub fn loads_heard(&self, span: Duration, now: Moment) -> Vec<LoadLine> {
+        let line = |(name, record): (&TargetName, &TargetRecord)| {
+            let (requests, at) = record.heard.filter(|(_, at)| now.since(*at) <= span)?;
+            let age_ms = now.since(at).as_millis() as u16;
+            Some(LoadLine { target: load_id(name), requests, age_ms })
+        };
+        self.records.iter().filter_map(line).collect()
+    }
+
+    /// Notes bytes that went over this entry's link, in either direction.
+    pub fn count_bytes(&mut self, bytes: u64) {
+        self.link.count(bytes);
+    }
+
+    /// Returns the part of this entry's link that is in use, in percent.
+    pub fn link_percent(&self) -> u8 {
+        self.link.percent()
+    }
+
     /// Returns the demand of this entry's own callers, in busy slots of each service.
     pub fn own_demand(&self) -> BTreeMap<ServiceName, f32> {
         let mut demand: BTreeMap<ServiceName, f32> = BTreeMap::new();
@@ -226,6 +266,7 @@
     /// Moves time on; returns the probes that are due.
     pub(crate) fn tick(&mut self, now: Moment) -> Vec<ProbeWish> {
         self.count_rates(now);
+        self.link.tick(now);
         self.plan_spills(now);
         let window = self.settings.retry_bound.window;
         for budget in self.budgets.values_mut() {
@@ -512,6 +553,7 @@
             request: job.id.clone(),
             route: job.plan.name.clone(),
             service: job.service.clone(),
+            object: job.key as u32,
             target: target.clone(),
             attempt: job.tried.len() as u32,
             load,
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -16,5 +16,6 @@
 pub mod cold;
 pub mod desk;
 pub mod job;
+mod link_meter;
 pub mod placement;
 pub mod spill;
--- a/crates/node/src/fleet/front.rs
+++ b/crates/node/src/fleet/front.rs
@@ -38,6 +38,9 @@
 /// before it has read a longer one may leave the rest of it on the connection.
 const KEEP_AFTER_BYTES: usize = 16 << 10;
 
+/// About what the heads of a request and its answer, and the packets around them, take on a link.
+const HEAD_BYTES: u64 = 900;
+
 /// A request as targets get it.
 struct CarriedRequest {
     method: Method,
@@ -79,6 +82,8 @@
 struct TargetAnswer {
     parts: Parts,
     body: Body,
+    /// The bytes of the body that were read so far.
+    held_bytes: u64,
 }
 
 /// Serves a caller's request.
@@ -131,7 +136,11 @@
         };
         if let Some(answer) = attempt(shell, &mut job, &order, &carried).await {
             let status = answer.parts.status.as_u16();
-            shell.decide(|state, now| state.desk.answered(&job, &order.target, status, now));
+            let bytes = answer.held_bytes + carried.body.len() as u64 + HEAD_BYTES;
+            shell.decide(|state, now| {
+                state.desk.count_bytes(bytes);
+                state.desk.answered(&job, &order.target, status, now);
+            });
             return passed_on(answer);
         }
     }
@@ -204,11 +213,13 @@
     match read_body(body).await.ok()? {
         ReadBody::Whole(bytes) => {
             keep(shell, order, connection, &parts, keeps);
-            Some(TargetAnswer { parts, body: Body::from(bytes) })
+            let held_bytes = bytes.len() as u64;
+            Some(TargetAnswer { parts, body: Body::from(bytes), held_bytes })
         }
         ReadBody::Begun(begun, rest) => {
+            let held_bytes = begun.len() as u64;
             let body = stream_body(begun, rest, connection);
-            Some(TargetAnswer { parts, body })
+            Some(TargetAnswer { parts, body, held_bytes })
         }
     }
 }
@@ -245,7 +256,7 @@
 }
 
 fn passed_on(answer: TargetAnswer) -> Response {
-    let TargetAnswer { parts, body } = answer;
+    let TargetAnswer { parts, body, .. } = answer;
     // Only a target that says so hasn't run a request; these statuses would promise that it hasn't.
     let promises = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
     if promises {
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -31,6 +31,8 @@
     },
 };
 
+/// Bytes a second in a megabit a second.
+const BYTES_PER_S_IN_MBPS: f64 = 125_000.0;
 /// The time between ticks.
 const TICK_EVERY: Duration = Duration::from_millis(50);
 /// The time between looks for connections that were kept for long enough.
@@ -60,6 +62,7 @@
         region: settings.region.clone(),
         domains: settings.domains.clone(),
         retry_bound: settings.retry_bound(),
+        link_bytes_per_s: settings.link_mbps * BYTES_PER_S_IN_MBPS,
     };
     let parts = EntryParts {
         identity,
--- a/crates/node/src/fleet/run_replica.rs
+++ b/crates/node/src/fleet/run_replica.rs
@@ -180,6 +180,7 @@
         seeds: settings.seed_peers(),
         replica,
         list_calls_per_s: settings.target_list.calls_per_s,
+        domains: settings.domains.clone(),
     };
     let state = ControlState::new(parts, moment_since(started));
     let (done_sender, done) = unbounded_channel();
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -46,6 +46,8 @@
     pub target_list: ListSettings,
     /// How many requests may be sent again, over all entries.
     pub repeats: RepeatSettings,
+    /// What its link carries each way, in Mbit/s.
+    pub link_mbps: f64,
     /// How long a process lives after it was asked to stop.
     pub grace: TimeSpan,
 }
