--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -595,6 +595,7 @@
             AttemptEnd::NotRun { .. } => job.arrivals += 1,
             AttemptEnd::Answered { .. }
             | AttemptEnd::Broken
+            | AttemptEnd::Dropped
             | AttemptEnd::Silent
             | AttemptEnd::Cancelled => {
                 job.arrivals += 1;
@@ -629,8 +630,10 @@
                     record.failed(false, now)
                 }
             }
-            AttemptEnd::Broken | AttemptEnd::Silent => record.failed(false, now),
-            AttemptEnd::Cancelled => None,
+            AttemptEnd::Broken => record.failed(false, now),
+            // A request that outlasts its route's time says little of the target: the time may be
+            // short for work on a cold object, and leaving the target makes its objects cold.
+            AttemptEnd::Silent | AttemptEnd::Dropped | AttemptEnd::Cancelled => None,
         };
         let reason = match end {
             AttemptEnd::NotSent => "no connection",
@@ -638,6 +641,7 @@
             AttemptEnd::NotRun { .. } => "not run",
             AttemptEnd::Answered { .. } => "answered",
             AttemptEnd::Broken => "broken answer",
+            AttemptEnd::Dropped => "kept connection ended",
             AttemptEnd::Silent => "no answer in time",
             AttemptEnd::Cancelled => "caller gone",
         };
--- a/crates/core/src/traffic/job.rs
+++ b/crates/core/src/traffic/job.rs
@@ -166,6 +166,8 @@
     },
     /// The connection broke, or what came is not an answer to this request.
     Broken,
+    /// A kept connection ended before an answer; the target may just have closed it.
+    Dropped,
     /// No answer came in time.
     Silent,
     /// The caller has gone.
--- a/crates/node/src/fleet/front.rs
+++ b/crates/node/src/fleet/front.rs
@@ -179,7 +179,8 @@
     let (head, connection) = match shell.pool.send(order, request).await {
         SendEnd::Head(head, connection) => (head, connection),
         SendEnd::NotSent => return (AttemptEnd::NotSent, None),
-        SendEnd::Broken => return (AttemptEnd::Broken, None),
+        SendEnd::Broken { kept: true } => return (AttemptEnd::Dropped, None),
+        SendEnd::Broken { kept: false } => return (AttemptEnd::Broken, None),
     };
     let (parts, body) = head.into_parts();
     let keeps = carried.body.len() <= KEEP_AFTER_BYTES;
--- a/crates/node/src/fleet/target_pool.rs
+++ b/crates/node/src/fleet/target_pool.rs
@@ -69,7 +69,10 @@
     /// No connection could be made; nothing was sent.
     NotSent,
     /// The connection ended after something may have been sent.
-    Broken,
+    Broken {
+        /// Whether it had carried a request before.
+        kept: bool,
+    },
 }
 
 /// Connections kept for later requests.
@@ -88,7 +91,7 @@
                 Err(mut error) => match error.take_message() {
                     // It closed before anything was written.
                     Some(unsent) => request = unsent,
-                    None => return SendEnd::Broken,
+                    None => return SendEnd::Broken { kept: true },
                 },
             }
         }
@@ -99,7 +102,7 @@
             Ok(head) => SendEnd::Head(head, connection),
             Err(mut error) => match error.take_message() {
                 Some(_) => SendEnd::NotSent,
-                None => SendEnd::Broken,
+                None => SendEnd::Broken { kept: false },
             },
         }
     }
