--- a/crates/core/src/traffic/spill.rs
+++ b/crates/core/src/traffic/spill.rs
@@ -30,16 +30,16 @@
 /// For how long after its first request the share stays: demand is measured over seconds.
 const START_HOLD: Duration = Duration::from_millis(2_500);
 /// How much a target's load, in parts of its slots, counts for sending its requests elsewhere first.
-const PRESSURE_GAIN: f64 = 0.5;
+const PRESSURE_GAIN: f64 = 0.15;
 /// The load, in parts of the slots, that counts neither for nor against.
 const PRESSURE_EVEN: f64 = 0.6;
 /// The share that may go elsewhere beyond the plan, of requests whose own target is full: small
 /// against the bound of change.
 const OVERFLOW_SHARE: f64 = 0.04;
 /// How much a debt of one request moves the threshold.
-const DEBT_GAIN: f64 = 0.06;
+const DEBT_GAIN: f64 = 0.02;
 /// The largest debt, in requests.
-const DEBT_MAX: f64 = 8.0;
+const DEBT_MAX: f64 = 5.0;
 
 /// The plan of one service at one entry.
 #[derive(Clone, Debug, Default)]
