--- /dev/null
+++ b/crates/core/tests/desk.rs
@@ -0,0 +1,345 @@
+//! Requests at a desk: who runs them, who is refused, and what all entries together may do.
+
+use {
+    hemlockspool_core::{
+        clock::Moment,
+        fleet::{
+            messages::{FleetCensus, InstancePlace},
+            roster::{TargetFact, TargetList},
+        },
+        traffic::{
+            budget::{RetryBound, RetryBudget},
+            desk::{DeskSettings, TrafficDesk},
+            job::{AttemptEnd, JobOrder, RefusalReason, RequestHead, RequestJob, TargetLoad},
+        },
+    },
+    hemlockspool_model::{
+        names::{DomainName, TargetName},
+        table::RouteTable,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+const TABLE: &str = r#"{"version":3,"routes":[
+    {"name":"look","host":"h","prefix":"/look/","repeat":"safe","timeout":"2s","goal":"400ms",
+     "priority":2,"service":"s","attempts":2,"sticky":true},
+    {"name":"pay","host":"h","prefix":"/pay/","repeat":"never","timeout":"2s","goal":"400ms",
+     "priority":0,"service":"s","attempts":2,"sticky":true},
+    {"name":"deep","host":"h","prefix":"/look/deep/","repeat":"safe","timeout":"2s",
+     "split":[{"service":"s","weight":3},{"service":"t","weight":1}]},
+    {"name":"home","host":"h","prefix":"/home/","repeat":"safe","timeout":"2s","service":"s",
+     "homes":["north"]}],
+    "services":[{"name":"s","cold_per_s":10},{"name":"t"}],"limits":{}}"#;
+
+/// The platform's bound on requests to a cold target in a second, over all entries: the rate of the
+/// table by 1.5, and 5.
+const COLD_BOUND: usize = 20;
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 80))
+}
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000 + millis * 1_000)
+}
+
+fn domains() -> BTreeMap<DomainName, hemlockspool_model::names::RegionName> {
+    let pairs = [("n1", "north"), ("n2", "north"), ("s1", "south")];
+    pairs.into_iter().map(|(domain, region)| (domain.into(), region.into())).collect()
+}
+
+fn fact(service: &str, domain: &str, last: u8) -> TargetFact {
+    TargetFact {
+        service: service.into(),
+        address: address(last),
+        domain: domain.into(),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+fn targets() -> TargetList {
+    let lines = [("a", "s", "n1"), ("b", "s", "n1"), ("c", "s", "n2"), ("d", "s", "n2")];
+    let more = [("e", "s", "s1"), ("f", "s", "s1"), ("g", "t", "n1"), ("h", "t", "s1")];
+    let lines = lines.into_iter().chain(more).enumerate();
+    let line = |(i, (name, service, domain)): (usize, (&str, &str, &str))| {
+        (TargetName::new(name), fact(service, domain, 100 + i as u8))
+    };
+    lines.map(line).collect()
+}
+
+fn census(count: u8) -> FleetCensus {
+    let place = || InstancePlace { region: "north".into(), domain: "n1".into() };
+    let entries = (1..=count).map(|i| (address(i), place())).collect();
+    FleetCensus { mark: u64::from(count), entries }
+}
+
+fn desk(me: u8) -> TrafficDesk {
+    let retry_bound = RetryBound { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+    let settings = DeskSettings {
+        me: address(me),
+        region: "north".into(),
+        domains: domains(),
+        retry_bound,
+        link_bytes_per_s: 1e8,
+    };
+    let mut desk = TrafficDesk::new(settings, at(0));
+    desk.set_table(&RouteTable::parse(TABLE).unwrap());
+    desk.set_targets(&targets(), at(0));
+    desk.set_census(&census(4));
+    desk
+}
+
+fn admit(desk: &mut TrafficDesk, path: &str, key: &str, now: Moment) -> RequestJob {
+    let head = RequestHead { id: "1", host: "h", path, key: Some(key), patience: None };
+    desk.admit(&head, now).unwrap()
+}
+
+fn place(
+    desk: &mut TrafficDesk,
+    job: &mut RequestJob,
+    now: Moment,
+) -> Result<TargetName, RefusalReason> {
+    match desk.place(job, now) {
+        JobOrder::Send(order) => Ok(order.target),
+        JobOrder::Refuse(refusal) => Err(refusal.reason),
+    }
+}
+
+fn finish(
+    desk: &mut TrafficDesk,
+    job: &mut RequestJob,
+    target: &TargetName,
+    end: AttemptEnd,
+    now: Moment,
+) {
+    desk.ended(job, target, end, Duration::from_millis(50), now);
+}
+
+const ANSWERED: AttemptEnd = AttemptEnd::Answered { status: 200, load: None };
+
+#[test]
+fn affinity_same_at_all_entries() {
+    let mut homes: BTreeMap<String, TargetName> = BTreeMap::new();
+    for me in 1..=4 {
+        let mut desk = desk(me);
+        for key in 0..50 {
+            let key = key.to_string();
+            let mut job = admit(&mut desk, "/look/x", &key, at(1));
+            let target = place(&mut desk, &mut job, at(1)).unwrap();
+            finish(&mut desk, &mut job, &target, ANSWERED, at(1));
+            assert_eq!(homes.entry(key).or_insert(target.clone()), &target);
+        }
+    }
+    assert_eq!(homes.values().collect::<BTreeSet<_>>().len(), 4, "all targets of the region");
+}
+
+#[test]
+fn affinity_moves_only_what_must() {
+    let (mut before, mut after) = (desk(1), desk(1));
+    let mut fewer = targets();
+    fewer.remove(&TargetName::new("a"));
+    after.set_targets(&fewer, at(1));
+    for key in 0..50 {
+        let key = key.to_string();
+        let mut job = admit(&mut before, "/look/x", &key, at(1));
+        let old = place(&mut before, &mut job, at(1)).unwrap();
+        finish(&mut before, &mut job, &old, ANSWERED, at(1));
+        let mut job = admit(&mut after, "/look/x", &key, at(1));
+        let new = place(&mut after, &mut job, at(1)).unwrap();
+        finish(&mut after, &mut job, &new, ANSWERED, at(1));
+        assert!(old == new || old == TargetName::new("a"), "{key}: {old} to {new}");
+    }
+}
+
+#[test]
+fn affinity_full_targets_refuse() {
+    let mut desk = desk(1);
+    let mut taken = BTreeMap::new();
+    let refused = (0..100).find_map(|_| {
+        let mut job = admit(&mut desk, "/look/x", "one", at(1));
+        match place(&mut desk, &mut job, at(1)) {
+            Ok(target) => {
+                *taken.entry(target).or_insert(0) += 1;
+                None
+            }
+            Err(reason) => Some(reason),
+        }
+    });
+    assert_eq!(refused, Some(RefusalReason::Full));
+    assert!(taken.len() <= 2, "an object stays with its targets: {taken:?}");
+    assert!(taken.values().all(|count| *count <= 8), "twice the slots at most: {taken:?}");
+}
+
+#[test]
+fn refusal_before_configuration() {
+    let retry_bound = RetryBound { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+    let settings = DeskSettings {
+        me: address(1),
+        region: "north".into(),
+        domains: domains(),
+        retry_bound,
+        link_bytes_per_s: 1e8,
+    };
+    let mut desk = TrafficDesk::new(settings, at(0));
+    let head = RequestHead { id: "1", host: "h", path: "/none/", key: None, patience: None };
+    let refusal = desk.admit(&head, at(1)).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::NoTable, "never that there is no route");
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn route_longest_prefix() {
+    let mut desk = desk(1);
+    assert_eq!(admit(&mut desk, "/look/x", "k", at(1)).plan.name.as_str(), "look");
+    assert_eq!(admit(&mut desk, "/look/deep/x", "k", at(1)).plan.name.as_str(), "deep");
+    let head = RequestHead { id: "1", host: "h", path: "/other/", key: None, patience: None };
+    assert_eq!(desk.admit(&head, at(1)).unwrap_err().reason, RefusalReason::NoRoute);
+}
+
+#[test]
+fn split_keeps_weights_in_every_row() {
+    let mut desk = desk(1);
+    let draws: Vec<bool> = (0..400)
+        .map(|_| admit(&mut desk, "/look/deep/x", "k", at(1)).service.as_str() == "t")
+        .collect();
+    for row in draws.windows(40) {
+        let share = row.iter().filter(|t| **t).count();
+        assert!((9..=11).contains(&share), "{share} of 40");
+    }
+}
+
+#[test]
+fn never_repeated_after_it_may_have_run() {
+    let ends = [AttemptEnd::Broken, AttemptEnd::Silent, AttemptEnd::Dropped, ANSWERED];
+    for end in ends {
+        let mut desk = desk(1);
+        let mut job = admit(&mut desk, "/pay/x", "k", at(1));
+        let target = place(&mut desk, &mut job, at(1)).unwrap();
+        finish(&mut desk, &mut job, &target, end, at(2));
+        let next = place(&mut desk, &mut job, at(2));
+        assert_eq!(next, Err(RefusalReason::Unclear), "{end:?}");
+        assert!(!RefusalReason::Unclear.promises_not_run());
+    }
+}
+
+#[test]
+fn never_repeated_unless_it_did_not_run() {
+    let load = Some(TargetLoad { running: 4, waiting: 1, slots: 4 });
+    let ends = [AttemptEnd::NotSent, AttemptEnd::NotRun { load, replaced: false }];
+    for end in ends {
+        let mut desk = desk(1);
+        // Requests that go well leave room for repeats.
+        for _ in 0..50 {
+            let mut job = admit(&mut desk, "/look/x", "other", at(1));
+            let target = place(&mut desk, &mut job, at(1)).unwrap();
+            finish(&mut desk, &mut job, &target, ANSWERED, at(1));
+        }
+        let mut job = admit(&mut desk, "/pay/x", "k", at(1));
+        let first = place(&mut desk, &mut job, at(1)).unwrap();
+        finish(&mut desk, &mut job, &first, end, at(2));
+        let second = place(&mut desk, &mut job, at(2)).unwrap();
+        assert_ne!(first, second, "{end:?}");
+    }
+}
+
+#[test]
+fn homes_bind_also_without_targets_there() {
+    let mut desk = desk(1);
+    let south: TargetList =
+        targets().into_iter().filter(|(_, fact)| fact.domain.as_str() == "s1").collect();
+    desk.set_targets(&south, at(1));
+    let mut job = admit(&mut desk, "/home/x", "k", at(1));
+    assert_eq!(place(&mut desk, &mut job, at(1)), Err(RefusalReason::NoTarget));
+    let mut job = admit(&mut desk, "/look/x", "k", at(1));
+    assert!(place(&mut desk, &mut job, at(1)).is_ok(), "other routes go where there are targets");
+}
+
+#[test]
+fn evacuated_and_draining_get_nothing() {
+    let mut desk = desk(1);
+    let mut list = targets();
+    list.get_mut(&TargetName::new("c")).unwrap().draining = true;
+    desk.set_targets(&list, at(1));
+    desk.set_evacuated(&BTreeSet::from([DomainName::new("n1")]), at(1));
+    // The list may still call the target ready for a moment, at another reader.
+    desk.set_targets(&targets(), at(2));
+    for key in 0..100 {
+        let mut job = admit(&mut desk, "/look/x", &key.to_string(), at(3));
+        if let Ok(target) = place(&mut desk, &mut job, at(3)) {
+            assert_eq!(target, TargetName::new("d"));
+            finish(&mut desk, &mut job, &target, ANSWERED, at(3));
+        }
+    }
+}
+
+#[test]
+fn replaced_target_gets_nothing_more() {
+    let mut desk = desk(1);
+    let mut job = admit(&mut desk, "/look/x", "k", at(1));
+    let target = place(&mut desk, &mut job, at(1)).unwrap();
+    let end = AttemptEnd::NotRun { load: None, replaced: true };
+    finish(&mut desk, &mut job, &target, end, at(1));
+    for step in 0..100 {
+        let mut job = admit(&mut desk, "/look/x", "k", at(step * 100));
+        if let Ok(other) = place(&mut desk, &mut job, at(step * 100)) {
+            assert_ne!(other, target);
+            finish(&mut desk, &mut job, &other, ANSWERED, at(step * 100));
+        }
+    }
+}
+
+#[test]
+fn cold_target_within_bound_of_all_entries() {
+    // Entries that disagree for a while about who lives: each sees another part of the fleet.
+    let mut desks: Vec<TrafficDesk> = (1..=12).map(desk).collect();
+    let mut list = TargetList::from([(TargetName::new("a"), fact("s", "n1", 100))]);
+    list.get_mut(&TargetName::new("a")).unwrap().cold_ms = 60_000;
+    for (i, desk) in desks.iter_mut().enumerate() {
+        desk.set_targets(&list, at(0));
+        desk.set_census(&census(if i % 2 == 0 { 12 } else { 9 }));
+    }
+    let mut sent: Vec<u64> = Vec::new();
+    for step in 0..300_u64 {
+        let now = at(step * 10);
+        for desk in &mut desks {
+            let mut job = admit(desk, "/look/x", "k", now);
+            if let Ok(target) = place(desk, &mut job, now) {
+                finish(desk, &mut job, &target, ANSWERED, now);
+                sent.push(step * 10);
+            }
+        }
+    }
+    assert!(!sent.is_empty(), "a service with cold targets only is served");
+    for start in 0..2_000 {
+        let count = sent.iter().filter(|at| (start..start + 1_000).contains(*at)).count();
+        assert!(count <= COLD_BOUND, "{count} in the second from {start} ms");
+    }
+}
+
+#[test]
+fn repeats_within_bound_of_all_entries() {
+    let bound = RetryBound { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+    let mut budgets = vec![RetryBudget::default(); 9];
+    let mut taken = 0;
+    for budget in &mut budgets {
+        for step in 0..100 {
+            budget.request(at(step));
+        }
+        taken += (0..1_000).filter(|_| budget.take(bound, 9, at(100))).count();
+    }
+    assert!(taken <= 200, "{taken} of 0.2 x 900 + 20");
+    assert!(taken >= 100, "most of it can be used: {taken}");
+}
+
+#[test]
+fn repeats_without_known_entries() {
+    let bound = RetryBound { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+    let mut budget = RetryBudget::default();
+    assert!(!budget.take(bound, 0, at(0)), "alone, an entry takes no part of the slack");
+}
