--- a/crates/node/src/fleet/peer_link.rs
+++ b/crates/node/src/fleet/peer_link.rs
@@ -52,25 +52,28 @@
 }
 
 /// Connections to and from other instances.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerLinks {
     queues: Mutex<BTreeMap<SocketAddr, Sender<Bytes>>>,
+    tunnels: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl PeerLinks {
-    /// Listens, and hands every message that can be read to a channel.
+    /// Listens, and hands every message that can be read to a channel. Peers with a tunnel are dialed
+    /// at its near end.
     ///
     /// # Errors
     ///
     /// [`LinkListenError`] when the address can't be listened on.
     pub(crate) async fn listen(
         address: SocketAddr,
+        tunnels: BTreeMap<SocketAddr, SocketAddr>,
         inbox: UnboundedSender<PeerEnvelope>,
     ) -> Result<Self, LinkListenError> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| LinkListenError { address, source })?;
         tokio::spawn(accept(listener, inbox));
-        Ok(Self::default())
+        Ok(Self { queues: Mutex::default(), tunnels })
     }
 
     /// Sends a message, or drops it when its receiver is too far behind.
@@ -86,7 +89,7 @@
             Some(queue) => queue.clone(),
             None => {
                 let (sender, receiver) = channel(WAITING_MAX);
-                tokio::spawn(carry(to, receiver));
+                tokio::spawn(carry(self.tunnels.get(&to).copied().unwrap_or(to), receiver));
                 queues.insert(to, sender.clone());
                 sender
             }
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -55,7 +55,8 @@
     let callers = listen(listen_at.callers).await?;
     let readiness = listen(listen_at.readiness).await?;
     let (sender, inbox) = unbounded_channel();
-    let links = PeerLinks::listen(listen_at.peers, sender).await?;
+    let tunnels = settings.tunnels.clone().unwrap_or_default();
+    let links = PeerLinks::listen(listen_at.peers, tunnels, sender).await?;
     let identity = identity_of(&settings);
     let desk = DeskSettings {
         me: listen_at.peers,
--- a/crates/node/src/fleet/run_replica.rs
+++ b/crates/node/src/fleet/run_replica.rs
@@ -170,7 +170,8 @@
     let operators = listen(listen_at.operators).await?;
     let lookups = listen(listen_at.lookups).await?;
     let (sender, inbox) = unbounded_channel();
-    let links = PeerLinks::listen(listen_at.peers, sender.clone()).await?;
+    let tunnels = settings.tunnels.clone().unwrap_or_default();
+    let links = PeerLinks::listen(listen_at.peers, tunnels, sender.clone()).await?;
     let identity = identity_of(&settings);
     let note =
         FleetNote::Started { name: settings.name.clone(), incarnation: identity.incarnation };
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -48,6 +48,8 @@
     pub repeats: RepeatSettings,
     /// What its link carries each way, in Mbit/s.
     pub link_mbps: f64,
+    /// Addresses to dial in place of others' peer addresses, such as the near end of a tunnel.
+    pub tunnels: Option<BTreeMap<SocketAddr, SocketAddr>>,
     /// How long a process lives after it was asked to stop.
     pub grace: TimeSpan,
 }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -155,6 +155,7 @@
                     region: domain.region.to_owned(),
                     http: free_address(),
                     peer: free_address(),
+                    role: None,
                     settings: folder.path().join(format!("{name}.json")),
                     data: (nodes.len() < plan.replicas).then(|| folder.path().join(&name)),
                     log: folder.path().join(format!("{name}.log")),
--- a/crates/testkit/src/node_process.rs
+++ b/crates/testkit/src/node_process.rs
@@ -34,6 +34,8 @@
     pub region: String,
     pub http: SocketAddr,
     pub peer: SocketAddr,
+    /// The daemon's subcommand, if any.
+    pub role: Option<&'static str>,
     pub settings: PathBuf,
     pub data: Option<PathBuf>,
     pub log: PathBuf,
@@ -45,8 +47,8 @@
         assert!(!self.runs(), "{} runs already", self.name);
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(program("hemlockspoold"));
-        command.arg("--settings").arg(&self.settings);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command.args(self.role).arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
         *self.child.lock().unwrap() = Some(command.spawn().unwrap());
     }
 
@@ -54,6 +56,14 @@
         self.child.lock().unwrap().is_some()
     }
 
+    /// Takes note of a process that has ended by itself.
+    pub fn reap(&self) {
+        let mut child = self.child.lock().unwrap();
+        if child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_some()) {
+            *child = None;
+        }
+    }
+
     pub fn pid(&self) -> i32 {
         self.child.lock().unwrap().as_ref().map(|child| child.id() as i32).expect("it runs")
     }
