An entry takes a whole list before it has read one; a panic ends the process

Change: no age where there is none; a panic in any task ends the process, which starts anew. Test: entry_first_list_is_whole fails with an overflow without the change.

--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -408,9 +408,9 @@
     }
 
     fn take_roster(&mut self, update: RosterUpdate, now: Moment) -> Vec<NodeEffect> {
-        let own_age = self.roster.age(now).unwrap_or(Duration::MAX);
-        let older =
-            update.from.is_none() && Duration::from_millis(update.age_ms) > own_age + LIST_STALE;
+        let update_age = Duration::from_millis(update.age_ms);
+        let behind = |own: Duration| update_age > own + LIST_STALE;
+        let older = update.from.is_none() && self.roster.age(now).is_some_and(behind);
         if !older && self.roster.take(update, now) {
             return self.targets_changed(now);
         }
--- /dev/null
+++ b/crates/core/tests/entries.rs
@@ -0,0 +1,179 @@
+//! An entry: what it takes from replicas, what it never goes back on, and when it is ready.
+
+use {
+    hemlockspool_core::{
+        clock::Moment,
+        effect::NodeEffect,
+        fleet::{
+            entry::{EntryEvent, EntryParts, EntryState},
+            messages::{FleetMessage, InstancePlace, PublishedState, PulseReply},
+            roster::{RosterMark, RosterUpdate, TargetFact, TargetList},
+        },
+        identity::NodeIdentity,
+        traffic::{
+            budget::RetryBound,
+            desk::DeskSettings,
+            job::{RefusalReason, RequestHead},
+        },
+        wire::{PeerEnvelope, PeerMessage, PeerSender, WIRE_FORMAT},
+    },
+    hemlockspool_model::names::TargetName,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+const REPLICA: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+fn at(millis: u64) -> Moment {
+    Moment(60_000_000 + millis * 1_000)
+}
+
+fn entry() -> EntryState {
+    let peer: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let identity = NodeIdentity {
+        deployment: "test".to_owned(),
+        name: "entry".into(),
+        domain: "d".into(),
+        peer,
+        incarnation: 5,
+    };
+    let desk = DeskSettings {
+        me: peer,
+        region: "r".into(),
+        domains: BTreeMap::from([("d".into(), "r".into())]),
+        retry_bound: RetryBound { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
+        link_bytes_per_s: 1e8,
+    };
+    let place = InstancePlace { region: "r".into(), domain: "d".into() };
+    let parts = EntryParts { identity, place, front: peer, seeds: vec![REPLICA], desk };
+    EntryState::new(parts, at(0))
+}
+
+fn hear(entry: &mut EntryState, message: FleetMessage, now: Moment) -> Vec<NodeEffect> {
+    let sender = PeerSender { name: "replica".into(), incarnation: 1, peer: REPLICA };
+    let message = PeerMessage::Fleet(Box::new(message));
+    let deployment = "test".to_owned();
+    let envelope = PeerEnvelope { format: WIRE_FORMAT, deployment, sender, message };
+    entry.reduce(EntryEvent::Peer(Box::new(envelope)), now)
+}
+
+fn published(change: u64, version: u64) -> FleetMessage {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{{"name":"n","host":"h","prefix":"/v{version}/",
+        "repeat":"safe","timeout":"1s","service":"s"}}],"services":[{{"name":"s"}}],"limits":{{}}}}"#
+    );
+    let evacuated = BTreeSet::new();
+    FleetMessage::Published(PublishedState { change, version, text: Some(text), evacuated })
+}
+
+fn whole_list(number: u64, age_ms: u64) -> FleetMessage {
+    let fact = TargetFact {
+        service: "s".into(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "d".into(),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+    };
+    let put = TargetList::from([(TargetName::new("t"), fact)]);
+    let to = RosterMark { reader: 3, number };
+    FleetMessage::Roster(RosterUpdate { from: None, to, put, gone: Vec::new(), age_ms })
+}
+
+fn reply(current: bool, echo: Moment) -> FleetMessage {
+    FleetMessage::PulseReply(PulseReply {
+        echo,
+        current,
+        roster_age_ms: 10,
+        replicas: vec![REPLICA],
+        census: None,
+        demand: BTreeMap::new(),
+        busy: Vec::new(),
+    })
+}
+
+fn admits(entry: &mut EntryState, path: &str) -> Result<(), RefusalReason> {
+    let head = RequestHead { id: "1", host: "h", path, key: None, patience: None };
+    let admitted = entry.desk.admit(&head, at(100));
+    admitted.map(|_| ()).map_err(|refusal| refusal.reason)
+}
+
+#[test]
+fn entry_first_list_is_whole() {
+    let mut entry = entry();
+    hear(&mut entry, whole_list(100, 10), at(1));
+    assert!(entry.desk.has_targets());
+}
+
+#[test]
+fn entry_ready_once_confirmed() {
+    let mut entry = entry();
+    entry.reduce(EntryEvent::Tick, at(0));
+    hear(&mut entry, whole_list(1, 10), at(1));
+    hear(&mut entry, published(1, 4), at(2));
+    assert!(!entry.is_ready(), "nobody has said that this is the newest");
+    hear(&mut entry, reply(false, at(1)), at(3));
+    assert!(!entry.is_ready(), "a replica without a leader can't know");
+    hear(&mut entry, reply(true, at(1)), at(4));
+    assert!(entry.is_ready());
+    entry.reduce(EntryEvent::Stop, at(5));
+    assert!(!entry.is_ready());
+}
+
+#[test]
+fn entry_never_goes_back() {
+    let mut entry = entry();
+    entry.reduce(EntryEvent::Tick, at(0));
+    hear(&mut entry, whole_list(1, 10), at(1));
+    hear(&mut entry, published(7, 9), at(2));
+    for (change, version) in [(6, 8), (7, 8), (1, 2)] {
+        hear(&mut entry, published(change, version), at(3));
+        assert_eq!(admits(&mut entry, "/v9/x"), Ok(()));
+    }
+    hear(&mut entry, published(8, 12), at(4));
+    assert_eq!(admits(&mut entry, "/v9/x"), Err(RefusalReason::NoRoute));
+    assert_eq!(admits(&mut entry, "/v12/x"), Ok(()));
+}
+
+#[test]
+fn entry_fresh_denies_nothing() {
+    let mut entry = entry();
+    assert_eq!(admits(&mut entry, "/v9/x"), Err(RefusalReason::NoTable));
+}
+
+#[test]
+fn entry_leaves_silent_replica() {
+    let other: SocketAddr = "127.0.0.1:2".parse().unwrap();
+    let mut entry = entry();
+    entry.reduce(EntryEvent::Seeds(vec![REPLICA, other]), at(0));
+    let mut asked = BTreeSet::new();
+    for step in 0..100 {
+        for effect in entry.reduce(EntryEvent::Tick, at(step * 50)) {
+            if let NodeEffect::Send { to, message } = effect
+                && let PeerMessage::Fleet(message) = *message
+                && let FleetMessage::EntryPulse(pulse) = *message
+                && pulse.follows
+            {
+                asked.insert(to);
+            }
+        }
+    }
+    assert_eq!(asked, BTreeSet::from([REPLICA, other]));
+}
+
+#[test]
+fn entry_reads_list_by_itself() {
+    let mut entry = entry();
+    let mut readings = 0;
+    for step in 0..400 {
+        let effects = entry.reduce(EntryEvent::Tick, at(step * 50));
+        if effects.contains(&NodeEffect::ReadList) {
+            readings += 1;
+            entry.reduce(EntryEvent::ListRead(None), at(step * 50));
+        }
+    }
+    assert!((3..=10).contains(&readings), "{readings} in 20 s");
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -34,7 +34,11 @@
     fleet::{FleetRole, FleetSettings, run_entry, run_replica},
     miette::{Diagnostic, IntoDiagnostic, Report},
     settings::DaemonSettings,
-    std::{path::PathBuf, process::ExitCode},
+    std::{
+        panic,
+        path::PathBuf,
+        process::{self, ExitCode},
+    },
     tokio::runtime::Builder,
 };
 
@@ -86,6 +90,16 @@
     }
 }
 
+/// Ends the process when any of its tasks panics: one that goes on without, say, its inbox would
+/// look alive and never serve again, while a new process starts afresh.
+fn end_on_panic() {
+    let report = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        report(info);
+        process::abort();
+    }));
+}
+
 fn block_on<E, F>(mut builder: Builder, run: F) -> ExitCode
 where
     E: Diagnostic + Send + Sync + 'static,
