Failing counts against what is usual; refusals may go to the same target; a full disk is waited for

Change: a target comes last only when it fails more than usual for its service, which runs down in time; while most refuse in spite of room, a refused request may try its target again; refusals don't count as runs. A write to a full disk is tried again after what was torn is cut off.

--- a/crates/core/src/traffic/board.rs
+++ b/crates/core/src/traffic/board.rs
@@ -30,6 +30,8 @@
 const PROBE_PATIENCE: Duration = Duration::from_millis(1_000);
 /// The weight of a failure in the share of failed requests.
 const FAILURE_WEIGHT: f64 = 0.15;
+/// The half-life of the share of failed requests.
+const FAILING_HALF_LIFE: Duration = Duration::from_millis(2_000);
 /// For how long a target that says that it is full is passed over.
 const FULL_FOR: Duration = Duration::from_millis(60);
 
@@ -59,8 +61,9 @@
     pub heard: Option<(u16, Moment)>,
     pub full_until: Option<Moment>,
     pub fails: u32,
-    /// The recent share of requests that it failed.
-    pub failing: f64,
+    /// The recent share of requests that it failed, as of a moment.
+    failing: f64,
+    failing_at: Moment,
     pub cold_until: Option<Moment>,
     pub cold_permits: ColdPermits,
 }
@@ -79,6 +82,7 @@
             full_until: None,
             fails: 0,
             failing: 0.0,
+            failing_at: now,
             cold_until: cold,
             cold_permits: ColdPermits::default(),
         }
@@ -141,7 +145,7 @@
         if load.is_some_and(|load| load.running >= load.slots) {
             self.full_until = Some(now.after(FULL_FOR));
         } else {
-            self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+            self.note_failing(1.0, now);
         }
     }
 
@@ -149,15 +153,28 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    pub fn succeeded(&mut self) {
+    pub fn succeeded(&mut self, now: Moment) {
         self.fails = 0;
-        self.failing *= 1.0 - FAILURE_WEIGHT;
+        self.note_failing(0.0, now);
+    }
+
+    /// Returns the recent share of requests that it failed. It runs down by itself, since a target
+    /// that comes last gets few requests to show that it is well again.
+    pub fn failing(&self, now: Moment) -> f64 {
+        let age = now.since(self.failing_at).as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64();
+        self.failing * 0.5_f64.powf(age)
+    }
+
+    fn note_failing(&mut self, failed: f64, now: Moment) {
+        let old = self.failing(now);
+        self.failing = old + FAILURE_WEIGHT * (failed - old);
+        self.failing_at = now;
     }
 
     /// Notes a failure; returns for how long the target is left alone from now on, if it is.
     pub fn failed(&mut self, hard: bool, now: Moment) -> Option<Duration> {
         self.fails += 1;
-        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+        self.note_failing(1.0, now);
         let out = self.health == TargetHealth::In && (hard || self.fails >= FAILS_MAX);
         if !out {
             return None;
--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -16,7 +16,7 @@
             budget::{RetryBound, RetryBudget},
             job::{
                 AttemptEnd, JobOrder, RefusalReason, RequestHead, RequestJob, RequestRefusal,
-                TargetOrder,
+                TargetLoad, TargetOrder,
             },
             link_meter::LinkMeter,
             placement::{PlacementGap, PlacementView, TargetChoice, affinity},
@@ -54,6 +54,10 @@
 /// How many times the warm work a measurement counts at most: planning for cold objects would ask
 /// for slots that nobody needs once they are warm.
 const MEAN_WORKS_MAX: f64 = 2.0;
+/// The weight of an attempt in the share of attempts that a service's targets fail.
+const SERVICE_FAILURE_WEIGHT: f64 = 0.03;
+/// From which share on a request that was refused in spite of room may go to the same target again.
+const SAME_TARGET_FAILING: f64 = 0.25;
 /// The time over which the rate of requests is averaged.
 const RATE_SPAN: Duration = Duration::from_millis(1_500);
 /// How long a service's targets stay cold when the table doesn't say.
@@ -110,6 +114,8 @@
     spills: BTreeMap<ServiceName, SpillPlan>,
     work: BTreeMap<RouteName, (ServiceName, RouteWork)>,
     splits: BTreeMap<RouteName, Vec<i64>>,
+    /// The share of attempts that each service's targets fail.
+    failing: BTreeMap<ServiceName, f64>,
     demand: BTreeMap<RegionName, BTreeMap<ServiceName, f32>>,
     counted_at: Moment,
     draws: u64,
@@ -136,6 +142,7 @@
             spills: BTreeMap::new(),
             work: BTreeMap::new(),
             splits: BTreeMap::new(),
+            failing: BTreeMap::new(),
             demand: BTreeMap::new(),
             counted_at: now,
             draws: now.0,
@@ -373,6 +380,7 @@
             tried: Vec::new(),
             arrivals: 0,
             misses: 0,
+            runs: 0,
             unclear: false,
             plan,
         })
@@ -468,7 +476,8 @@
         if job.unclear && job.plan.repeat == RepeatRule::Never {
             return Err(RefusalReason::Unclear);
         }
-        if job.arrivals >= job.plan.attempts {
+        // Targets that refused don't count as ones that it was run on, but as repeats.
+        if job.runs >= job.plan.attempts || job.arrivals > job.plan.attempts {
             return Err(ended);
         }
         if job.misses >= MISSES_MAX {
@@ -515,6 +524,7 @@
             entries: &self.entries,
             now,
             work_ms: self.work_ms(&job.plan),
+            usual_failing: self.usual_failing(&job.service),
         };
         view.choose(job, &order)
     }
@@ -531,6 +541,10 @@
         first.map_or(0.0, |(_, record)| record.load(now) / f64::from(record.fact.slots.max(1)))
     }
 
+    fn usual_failing(&self, service: &ServiceName) -> f64 {
+        self.failing.get(service).copied().unwrap_or_default()
+    }
+
     fn work_ms(&self, plan: &RoutePlan) -> f64 {
         self.work.get(&plan.name).map_or(0.0, |(_, work)| work.work_ms)
     }
@@ -599,10 +613,12 @@
             | AttemptEnd::Silent
             | AttemptEnd::Cancelled => {
                 job.arrivals += 1;
+                job.runs += 1;
                 job.unclear = true;
             }
         }
         self.measure(job, target, end, took, now);
+        self.note_failing(job, end);
         let Some(record) = self.records.get_mut(target) else { return };
         record.own = record.own.saturating_sub(1);
         let out = match end {
@@ -624,7 +640,7 @@
                     record.hear_load(load, now);
                 }
                 if status < 500 {
-                    record.succeeded();
+                    record.succeeded(now);
                     None
                 } else {
                     record.failed(false, now)
@@ -656,6 +672,23 @@
         }
     }
 
+    /// Keeps the share of attempts that a service's targets fail. While most of them refuse in spite
+    /// of room, the same target is as good as another, and the object is warm there.
+    fn note_failing(&mut self, job: &mut RequestJob, end: AttemptEnd) {
+        let has_room = |load: Option<TargetLoad>| load.is_none_or(|load| load.running < load.slots);
+        let (failed, refused) = match end {
+            AttemptEnd::NotRun { load, replaced: false } if has_room(load) => (1.0, true),
+            AttemptEnd::Answered { status, .. } => (f64::from(u8::from(status >= 500)), false),
+            AttemptEnd::Broken => (1.0, false),
+            _ => return,
+        };
+        let share = self.failing.entry(job.service.clone()).or_default();
+        *share += SERVICE_FAILURE_WEIGHT * (failed - *share);
+        if refused && *share >= SAME_TARGET_FAILING {
+            job.tried.pop();
+        }
+    }
+
     fn measure(
         &mut self,
         job: &RequestJob,
--- a/crates/core/src/traffic/job.rs
+++ b/crates/core/src/traffic/job.rs
@@ -51,6 +51,8 @@
     pub(crate) arrivals: u32,
     /// Connections that could not be made.
     pub(crate) misses: u32,
+    /// Attempts that may have run it.
+    pub(crate) runs: u32,
     /// Whether a target may have run it.
     pub unclear: bool,
 }
@@ -58,7 +60,7 @@
 impl RequestJob {
     /// Tells whether the request may be sent to one more target after this attempt.
     pub fn may_repeat(&self) -> bool {
-        self.plan.repeat == RepeatRule::Safe && self.arrivals + 1 < self.plan.attempts
+        self.plan.repeat == RepeatRule::Safe && self.runs + 1 < self.plan.attempts
     }
 }
 
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -24,7 +24,8 @@
 const QUEUE_BY_RANK: [f64; 3] = [0.9, 0.6, 0.35];
 /// The most rounds of work that a request waits at a target.
 const QUEUE_ROUNDS_MAX: f64 = 1.0;
-/// From which share of failed requests on a target comes after all others.
+/// By how much more than usual for its service a target must fail to come after all others: leaving
+/// it makes its objects cold, which isn't worth it when the others fail as much.
 const FAILING: f64 = 0.25;
 /// One in this many requests tries a target that fails many.
 const TRIAL_ONE_IN: u64 = 24;
@@ -39,6 +40,8 @@
     pub now: Moment,
     /// How long the work of the request takes at a warm target, in milliseconds.
     pub work_ms: f64,
+    /// The share of requests that the service's targets fail at present.
+    pub usual_failing: f64,
 }
 
 /// A target that was chosen.
@@ -98,7 +101,7 @@
         // Targets that fail many requests come last, unless it is their turn for a trial.
         let fails = |name: &TargetName, record: &TargetRecord| {
             let trial = affinity(job.arrived.0, name) % TRIAL_ONE_IN == 0;
-            record.failing >= FAILING && !trial
+            record.failing(self.now) >= self.usual_failing + FAILING && !trial
         };
         ranked.sort_unstable_by_key(|(rank, name, record)| (fails(name, record), Reverse(*rank)));
         let room = |record: &TargetRecord| {
--- a/crates/node/src/disk/error.rs
+++ b/crates/node/src/disk/error.rs
@@ -5,7 +5,10 @@
 use {
     hemlockspool_model::names::InstanceName,
     miette::Diagnostic,
-    std::{io, path::PathBuf},
+    std::{
+        io::{self, ErrorKind},
+        path::PathBuf,
+    },
     thiserror::Error,
 };
 
@@ -75,6 +78,14 @@
     Ledger(#[from] hemlockspool_core::ledger::LedgerError),
 }
 
+impl DiskError {
+    /// Tells whether the disk has no room, which may pass.
+    pub(crate) fn is_full(&self) -> bool {
+        let Self::Io { source, .. } = self else { return false };
+        matches!(source.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+    }
+}
+
 /// What was tried with a file.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum DiskAction {
--- a/crates/node/src/disk/store.rs
+++ b/crates/node/src/disk/store.rs
@@ -26,6 +26,10 @@
     folder: PathBuf,
     number: u64,
     segment: File,
+    /// The bytes of the segment that are whole records.
+    length: u64,
+    /// Whether a write broke off and left part of a record behind `length`.
+    torn: bool,
     unsynced: bool,
 }
 
@@ -53,7 +57,8 @@
         drop(segment);
         let segment = OpenOptions::new().append(true).open(&path);
         let segment = segment.map_err(DiskAction::Open.at(&path))?;
-        let store = Self { folder: folder.to_owned(), number, segment, unsynced: false };
+        let (folder, length) = (folder.to_owned(), whole_bytes);
+        let store = Self { folder, number, segment, length, torn: false, unsynced: false };
         store.remove_old()?;
         Ok((store, restored))
     }
@@ -62,7 +67,8 @@
     ///
     /// # Errors
     ///
-    /// [`DiskError::Io`]; the store must not be used any more then.
+    /// [`DiskError::Io`]; after one that says that the disk is full the same batch may be written
+    /// again, after any other the store must not be used any more.
     pub(crate) fn write(&mut self, batch: &PersistBatch) -> Result<(), DiskError> {
         if let Some((image, base)) = &batch.reset {
             return self.start_anew(image, *base, batch);
@@ -70,7 +76,13 @@
         let mut bytes = Vec::new();
         frame_batch(batch, &mut bytes);
         let path = segment_path(&self.folder, self.number);
+        if self.torn {
+            self.segment.set_len(self.length).map_err(DiskAction::Write.at(&path))?;
+        }
+        self.torn = true;
         self.segment.write_all(&bytes).map_err(DiskAction::Write.at(&path))?;
+        self.torn = false;
+        self.length += bytes.len() as u64;
         self.unsynced = true;
         Ok(())
     }
@@ -109,6 +121,8 @@
         let segment = OpenOptions::new().append(true).open(&path);
         self.segment = segment.map_err(DiskAction::Open.at(&path))?;
         self.number = number;
+        self.length = bytes.len() as u64;
+        self.torn = false;
         self.unsynced = false;
         self.remove_old()
     }
--- a/crates/node/src/disk/writer.rs
+++ b/crates/node/src/disk/writer.rs
@@ -7,13 +7,17 @@
 
 use {
     super::{error::DiskError, store::LogStore},
-    hemlockspool_core::effect::DiskEffect,
+    hemlockspool_core::{consensus::PersistBatch, effect::DiskEffect},
     std::{
         sync::mpsc::{Receiver, Sender, channel},
         thread,
+        time::Duration,
     },
 };
 
+/// The pause before a write to a full disk is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// The way to the thread.
 #[derive(Debug)]
 pub(crate) struct LogWriter {
@@ -56,13 +60,24 @@
 {
     while let Ok(first) = receiver.recv() {
         let mut ticket = first.ticket;
-        store.write(&first.batch)?;
+        write_when_possible(&mut store, &first.batch)?;
         while let Ok(next) = receiver.try_recv() {
             ticket = next.ticket;
-            store.write(&next.batch)?;
+            write_when_possible(&mut store, &next.batch)?;
         }
         store.sync()?;
         done(ticket);
     }
     Ok(())
 }
+
+/// Writes a batch, and waits while the disk is full: nothing is promised meanwhile, and an instance
+/// that waits goes on with everything that needs no disk.
+fn write_when_possible(store: &mut LogStore, batch: &PersistBatch) -> Result<(), DiskError> {
+    loop {
+        match store.write(batch) {
+            Err(error) if error.is_full() => thread::sleep(FULL_PAUSE),
+            result => return result,
+        }
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -80,6 +80,7 @@
         println!("{}: settings are good", path.display());
         return ExitCode::SUCCESS;
     }
+    end_on_panic();
     match role {
         FleetRole::Entry => {
             block_on(Builder::new_current_thread(), run_entry(settings, path.clone()))
