Requests whose answers the link can't carry in time are refused at once

Change: an entry books the mean answer of a route on its link when it lets a request in, and refuses by rank when the link is busy for 100 to 300 ms already.

--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -54,6 +54,13 @@
 /// How many times the warm work a measurement counts at most: planning for cold objects would ask
 /// for slots that nobody needs once they are warm.
 const MEAN_WORKS_MAX: f64 = 2.0;
+/// How long the link may be busy with answers already for one more to be asked for, by rank.
+const LINK_BACKLOG: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(200), Duration::from_millis(100)];
+/// The bytes that an answer is taken to have before any was seen.
+const ANSWER_BYTES: f64 = 3_000.0;
+/// The weight of a new answer in the mean size of a route's answers.
+const BYTES_WEIGHT: f64 = 0.05;
 /// The weight of an attempt in the share of attempts that a service's targets fail.
 const SERVICE_FAILURE_WEIGHT: f64 = 0.03;
 /// From which share on a request that was refused in spite of room may go to the same target again.
@@ -95,6 +102,8 @@
     work_ms: f64,
     /// The mean of all work.
     mean_ms: f64,
+    /// The mean size of its answers with what goes with them.
+    bytes: f64,
 }
 
 /// Requests and targets of one entry.
@@ -250,11 +259,6 @@
         self.records.iter().filter_map(line).collect()
     }
 
-    /// Notes bytes that went over this entry's link, in either direction.
-    pub fn count_bytes(&mut self, bytes: u64) {
-        self.link.count(bytes);
-    }
-
     /// Returns the part of this entry's link that is in use, in percent.
     pub fn link_percent(&self) -> u8 {
         self.link.percent()
@@ -359,6 +363,9 @@
         };
         let service = self.draw_part(&plan);
         self.count_arrival(&plan, &service);
+        if let Some(backlog) = self.link_refusal(&plan, now) {
+            return Err(self.refuse_for_link(head, backlog));
+        }
         self.budgets.entry(service.clone()).or_default().request(now);
         self.draws = self.draws.wrapping_add(1);
         let key = match head.key.filter(|_| plan.sticky) {
@@ -386,6 +393,26 @@
         })
     }
 
+    /// Books the answer of a request on the link; returns for how long the link is busy when that is
+    /// too long for the request's rank.
+    fn link_refusal(&mut self, plan: &RoutePlan, now: Moment) -> Option<Duration> {
+        let backlog = self.link.backlog(now);
+        let rank = (plan.rank as usize).min(LINK_BACKLOG.len() - 1);
+        if backlog > LINK_BACKLOG[rank] {
+            return Some(backlog);
+        }
+        let bytes = self.work.get(&plan.name).map_or(ANSWER_BYTES, |(_, work)| work.bytes);
+        self.link.expect(bytes);
+        None
+    }
+
+    fn refuse_for_link(&mut self, head: &RequestHead<'_>, backlog: Duration) -> RequestRefusal {
+        let reason = RefusalReason::LinkFull;
+        let retry_after = Some(backlog.clamp(RETRY_FULL.0, RETRY_FULL.1));
+        self.note_refusal(head.id, reason, retry_after, 0);
+        RequestRefusal { reason, retry_after }
+    }
+
     fn refusal_at_door(&self, head: &RequestHead<'_>) -> Option<RefusalReason> {
         if self.version.is_none() || !self.has_targets() {
             return Some(RefusalReason::NoTable);
@@ -450,7 +477,8 @@
     fn count_arrival(&mut self, plan: &RoutePlan, service: &ServiceName) {
         let goal_ms = plan.goal.as_secs_f64() * 1_000.0;
         let work_ms = WORK_OF_GOAL * goal_ms;
-        let fresh = RouteWork { work_ms, mean_ms: work_ms, ..RouteWork::default() };
+        let fresh =
+            RouteWork { work_ms, mean_ms: work_ms, bytes: ANSWER_BYTES, ..RouteWork::default() };
         let line = self.work.entry(plan.name.clone()).or_insert((service.clone(), fresh));
         line.0 = service.clone();
         line.1.arrivals += 1;
@@ -712,8 +740,19 @@
         }
     }
 
-    /// Notes that a request was answered.
-    pub fn answered(&mut self, job: &RequestJob, target: &TargetName, status: u16, now: Moment) {
+    /// Notes that a request was answered, with what the answer took on this entry's link.
+    pub fn answered(
+        &mut self,
+        job: &RequestJob,
+        target: &TargetName,
+        status: u16,
+        bytes: u64,
+        now: Moment,
+    ) {
+        self.link.count(bytes);
+        if let Some((_, work)) = self.work.get_mut(&job.plan.name) {
+            work.bytes += BYTES_WEIGHT * (bytes as f64 - work.bytes);
+        }
         self.notes.push(FleetNote::RequestAnswered {
             request: job.id.clone(),
             target: target.clone(),
--- a/crates/core/src/traffic/job.rs
+++ b/crates/core/src/traffic/job.rs
@@ -88,6 +88,8 @@
     NoRoute,
     /// No target has room for it in time.
     Full,
+    /// This entry's link is busy for too long.
+    LinkFull,
     /// No target can be reached.
     NoTarget,
     /// This entry is stopping.
@@ -105,6 +107,7 @@
             Self::NoTable => "no table",
             Self::NoRoute => "no route",
             Self::Full => "no room in time",
+            Self::LinkFull => "link full",
             Self::NoTarget => "no target",
             Self::Stopping => "stopping",
             Self::Unclear => "unclear",
--- a/crates/node/src/fleet/front.rs
+++ b/crates/node/src/fleet/front.rs
@@ -138,8 +138,7 @@
             let status = answer.parts.status.as_u16();
             let bytes = answer.held_bytes + carried.body.len() as u64 + HEAD_BYTES;
             shell.decide(|state, now| {
-                state.desk.count_bytes(bytes);
-                state.desk.answered(&job, &order.target, status, now);
+                state.desk.answered(&job, &order.target, status, bytes, now);
             });
             return passed_on(answer);
         }
@@ -277,6 +276,7 @@
         RefusalReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::NoTable
         | RefusalReason::Full
+        | RefusalReason::LinkFull
         | RefusalReason::NoTarget
         | RefusalReason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     };
