--- a/crates/core/src/traffic/desk.rs
+++ b/crates/core/src/traffic/desk.rs
@@ -363,9 +363,10 @@
         };
         let service = self.draw_part(&plan);
         self.count_arrival(&plan, &service);
-        if let Some(backlog) = self.link_refusal(&plan, now) {
-            return Err(self.refuse_for_link(head, backlog));
-        }
+        let booked_bytes = match self.book_link(&plan, now) {
+            Ok(bytes) => bytes,
+            Err(backlog) => return Err(self.refuse_for_link(head, backlog)),
+        };
         self.budgets.entry(service.clone()).or_default().request(now);
         self.draws = self.draws.wrapping_add(1);
         let key = match head.key.filter(|_| plan.sticky) {
@@ -387,23 +388,27 @@
             tried: Vec::new(),
             arrivals: 0,
             misses: 0,
+            booked_bytes,
             runs: 0,
             unclear: false,
             plan,
         })
     }
 
-    /// Books the answer of a request on the link; returns for how long the link is busy when that is
-    /// too long for the request's rank.
-    fn link_refusal(&mut self, plan: &RoutePlan, now: Moment) -> Option<Duration> {
+    /// Books the answer of a request on the link, and returns its bytes.
+    ///
+    /// # Errors
+    ///
+    /// For how long the link is busy, when that is too long for the request's rank.
+    fn book_link(&mut self, plan: &RoutePlan, now: Moment) -> Result<f64, Duration> {
         let backlog = self.link.backlog(now);
         let rank = (plan.rank as usize).min(LINK_BACKLOG.len() - 1);
         if backlog > LINK_BACKLOG[rank] {
-            return Some(backlog);
+            return Err(backlog);
         }
         let bytes = self.work.get(&plan.name).map_or(ANSWER_BYTES, |(_, work)| work.bytes);
         self.link.expect(bytes);
-        None
+        Ok(bytes)
     }
 
     fn refuse_for_link(&mut self, head: &RequestHead<'_>, backlog: Duration) -> RequestRefusal {
@@ -607,6 +612,7 @@
     }
 
     fn refuse(&mut self, job: &RequestJob, reason: RefusalReason, now: Moment) -> RequestRefusal {
+        self.link.release(job.booked_bytes);
         if !reason.promises_not_run() {
             self.notes.push(FleetNote::RequestFailed {
                 request: job.id.clone(),
--- a/crates/core/src/traffic/job.rs
+++ b/crates/core/src/traffic/job.rs
@@ -51,6 +51,8 @@
     pub(crate) arrivals: u32,
     /// Connections that could not be made.
     pub(crate) misses: u32,
+    /// What is booked on the entry's link for its answer, in bytes.
+    pub(crate) booked_bytes: f64,
     /// Attempts that may have run it.
     pub(crate) runs: u32,
     /// Whether a target may have run it.
--- a/crates/core/src/traffic/link_meter.rs
+++ b/crates/core/src/traffic/link_meter.rs
@@ -52,6 +52,11 @@
         self.expected += bytes;
     }
 
+    /// Notes that an answer that was asked for won't come.
+    pub(crate) fn release(&mut self, bytes: f64) {
+        self.expected = (self.expected - bytes).max(0.0);
+    }
+
     pub(crate) fn tick(&mut self, now: Moment) {
         let span = self.at.map_or(Duration::ZERO, |at| now.since(at)).as_secs_f64();
         self.at = Some(now);
