--- a/crates/core/src/fleet/census.rs
+++ b/crates/core/src/fleet/census.rs
@@ -71,12 +71,12 @@
         F: Fn(&InstancePlace) -> bool,
     {
         let fitting = self.entries.values().filter(|record| fits(&record.pulse.place));
-        let (mut count, mut sum) = (0, 0);
+        let (mut count, mut sum) = (0_u32, 0_u32);
         for record in fitting {
             count += 1;
             sum += u32::from(record.pulse.link_percent);
         }
-        if count == 0 { 0 } else { sum / count }
+        sum.checked_div(count).unwrap_or(0)
     }
 
     /// Returns the entries that follow this replica, with what they have.
--- /dev/null
+++ b/crates/core/src/traffic/admission.rs
@@ -0,0 +1,174 @@
+/*!
+Letting requests in: their route, their service, and what is refused before any target is looked at.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        fleet::{notes::FleetNote, routes::RoutePlan},
+        traffic::{
+            desk::TrafficDesk,
+            job::{RefusalReason, RequestHead, RequestJob, RequestRefusal},
+            workload::{ANSWER_BYTES, RouteWork},
+        },
+        util::stable_hash,
+    },
+    hemlockspool_model::names::ServiceName,
+    std::{sync::Arc, time::Duration},
+};
+
+/// How long the link may be busy with answers already for one more to be asked for, by rank.
+const LINK_BACKLOG: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(200), Duration::from_millis(100)];
+/// When a caller may come back to an entry that has no configuration yet.
+const RETRY_NO_TABLE: Duration = Duration::from_millis(300);
+/// When a caller may come back to another entry than one that stops.
+const RETRY_STOPPING: Duration = Duration::from_millis(10);
+/// The bounds of when a caller may come back to targets without room.
+pub(super) const RETRY_FULL: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(1_000));
+
+impl TrafficDesk {
+    /// Lets a request in, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, which is final.
+    pub fn admit(
+        &mut self,
+        head: &RequestHead<'_>,
+        now: Moment,
+    ) -> Result<RequestJob, RequestRefusal> {
+        let refused = self.refusal_at_door(head);
+        let plan = match (refused, self.index.find(head.host, head.path)) {
+            (None, Some(plan)) => Arc::clone(plan),
+            (refused, _) => {
+                let reason = refused.unwrap_or(RefusalReason::NoRoute);
+                return Err(self.refuse_head(head, reason));
+            }
+        };
+        let service = self.draw_part(&plan);
+        self.count_arrival(&plan, &service);
+        let booked_bytes = match self.book_link(&plan, now) {
+            Ok(bytes) => bytes,
+            Err(backlog) => return Err(self.refuse_for_link(head, backlog)),
+        };
+        self.budgets.entry(service.clone()).or_default().request(now);
+        self.draws = self.draws.wrapping_add(1);
+        let key = match head.key.filter(|_| plan.sticky) {
+            Some(key) => stable_hash(key.as_bytes()),
+            None => stable_hash(&self.draws.to_le_bytes()),
+        };
+        let pressure = self.pressure(&service, key, now);
+        let region = self.spills.get_mut(&service);
+        let region = region.and_then(|plan| plan.draw(key, pressure, now));
+        let patience = head.patience.unwrap_or(plan.timeout).min(plan.timeout);
+        Ok(RequestJob {
+            id: head.id.to_owned(),
+            service,
+            key,
+            region,
+            arrived: now,
+            deadline: now.after(patience),
+            goal_at: now.after(plan.goal.min(patience)),
+            tried: Vec::new(),
+            arrivals: 0,
+            misses: 0,
+            booked_bytes,
+            runs: 0,
+            unclear: false,
+            plan,
+        })
+    }
+
+    /// Books the answer of a request on the link, and returns its bytes.
+    ///
+    /// # Errors
+    ///
+    /// For how long the link is busy, when that is too long for the request's rank.
+    fn book_link(&mut self, plan: &RoutePlan, now: Moment) -> Result<f64, Duration> {
+        let backlog = self.link.backlog(now);
+        let rank = (plan.rank as usize).min(LINK_BACKLOG.len() - 1);
+        if backlog > LINK_BACKLOG[rank] {
+            return Err(backlog);
+        }
+        let bytes = self.work.get(&plan.name).map_or(ANSWER_BYTES, |(_, work)| work.bytes);
+        self.link.expect(bytes);
+        Ok(bytes)
+    }
+
+    fn refuse_for_link(&mut self, head: &RequestHead<'_>, backlog: Duration) -> RequestRefusal {
+        let reason = RefusalReason::LinkFull;
+        let retry_after = Some(backlog.clamp(RETRY_FULL.0, RETRY_FULL.1));
+        self.note_refusal(head.id, reason, retry_after, 0);
+        RequestRefusal { reason, retry_after }
+    }
+
+    fn refusal_at_door(&self, head: &RequestHead<'_>) -> Option<RefusalReason> {
+        if self.version.is_none() || !self.has_targets() {
+            return Some(RefusalReason::NoTable);
+        }
+        if self.stopping {
+            return Some(RefusalReason::Stopping);
+        }
+        (head.id.is_empty()).then_some(RefusalReason::NoRoute)
+    }
+
+    fn refuse_head(&mut self, head: &RequestHead<'_>, reason: RefusalReason) -> RequestRefusal {
+        let retry_after = match reason {
+            RefusalReason::NoTable => Some(RETRY_NO_TABLE),
+            RefusalReason::Stopping => Some(RETRY_STOPPING),
+            _ => None,
+        };
+        self.note_refusal(head.id, reason, retry_after, 0);
+        RequestRefusal { reason, retry_after }
+    }
+
+    pub(super) fn note_refusal(
+        &mut self,
+        id: &str,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        attempts: u32,
+    ) {
+        self.notes.push(FleetNote::RequestRefused {
+            request: id.to_owned(),
+            reason: reason.word(),
+            retry_after_ms: retry_after.unwrap_or_default().as_millis() as u64,
+            attempts,
+            version: self.version.unwrap_or(0),
+        });
+    }
+
+    /// Draws the service of a request so that each part of a split gets its share in every row of
+    /// requests, not just on average.
+    fn draw_part(&mut self, plan: &RoutePlan) -> ServiceName {
+        if plan.parts.len() == 1 {
+            return plan.parts[0].0.clone();
+        }
+        let credits = self.splits.entry(plan.name.clone()).or_default();
+        if credits.len() != plan.parts.len() {
+            // Entries start at different points, so that their rows don't run in step.
+            let start = |(i, (_, weight)): (usize, &(ServiceName, u32))| {
+                let text = format!("{} {} {i}", self.settings.me, plan.name);
+                (stable_hash(text.as_bytes()) % (u64::from(*weight) + 1)) as i64
+            };
+            *credits = plan.parts.iter().enumerate().map(start).collect();
+        }
+        let total: i64 = plan.parts.iter().map(|(_, weight)| i64::from(*weight)).sum();
+        for (credit, (_, weight)) in credits.iter_mut().zip(&plan.parts) {
+            *credit += i64::from(*weight);
+        }
+        let best = (0..credits.len()).max_by_key(|i| (credits[*i], std::cmp::Reverse(*i)));
+        let best = best.unwrap_or(0);
+        credits[best] -= total;
+        plan.parts[best].0.clone()
+    }
+
+    fn count_arrival(&mut self, plan: &RoutePlan, service: &ServiceName) {
+        let fresh = || (service.clone(), RouteWork::new(plan.goal));
+        let line = self.work.entry(plan.name.clone()).or_insert_with(fresh);
+        line.0 = service.clone();
+        line.1.arrived();
+    }
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,7 +2,9 @@
 What an entry decides about requests: which target runs each, and which are refused.
 
 * [`job`] is a request on its way; [`board`] is what the entry knows of each target.
-* [`placement`] chooses a target; [`desk`] joins all of this.
+* [`desk`] holds what an entry knows; `admission` lets requests in, `dispatch` makes and judges attempts,
+  and [`placement`] chooses a target.
+* `workload` measures the work of routes, and `link_meter` the use of the entry's link.
 * [`spill`] plans what part of a region's work runs in other regions.
 * [`budget`] bounds repeats; [`cold`] bounds what targets that have just started get.
 
@@ -11,11 +13,14 @@
 leaves or joins moves only its own keys.
 */
 
+mod admission;
 pub mod board;
 pub mod budget;
 pub mod cold;
 pub mod desk;
+mod dispatch;
 pub mod job;
 mod link_meter;
 pub mod placement;
 pub mod spill;
+mod workload;
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -100,7 +100,7 @@
         }
         // Targets that fail many requests come last, unless it is their turn for a trial.
         let fails = |name: &TargetName, record: &TargetRecord| {
-            let trial = affinity(job.arrived.0, name) % TRIAL_ONE_IN == 0;
+            let trial = affinity(job.arrived.0, name).is_multiple_of(TRIAL_ONE_IN);
             record.failing(self.now) >= self.usual_failing + FAILING && !trial
         };
         ranked.sort_unstable_by_key(|(rank, name, record)| (fails(name, record), Reverse(*rank)));
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -3,7 +3,8 @@
 
 All of it runs on one thread, but for the disk and the log, which have one each.
 
-* [`settings`] reads the settings file and [`settings_watch`] reads it again; [`run_entry`] and [`run_replica`] start the instances.
+* [`settings`] reads the settings file and [`settings_watch`] reads it again; `run_entry` and `run_replica` start the
+  instances.
 * [`entry_shell`] and [`replica_shell`] hold the reducers' states and perform effects.
 * [`front`] serves callers, through [`target_pool`]'s connections to targets.
 * [`operator_api`] serves operators and look-ups.
