--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -97,6 +97,42 @@
         self.with_token(request).send().await?.json().await
     }
 
+    /// Sends an order, to one replica after another until one answers it for certain; returns its
+    /// text.
+    ///
+    /// # Errors
+    ///
+    /// [`CommandError::Order`] when it is refused, [`CommandError::Unanswered`] when nobody answers.
+    pub(crate) async fn order<F>(&self, make: F) -> Result<String, CommandError>
+    where
+        F: Fn(&Client, &str) -> RequestBuilder,
+    {
+        let mut last = None;
+        for round in 0..GET_ROUNDS {
+            if round > 0 {
+                sleep(GET_PAUSE).await;
+            }
+            for server in &self.options.servers {
+                let answer = match make(&self.http, server).send().await {
+                    Ok(answer) => answer,
+                    Err(error) => {
+                        last = Some(error);
+                        continue;
+                    }
+                };
+                let status = answer.status();
+                let text = answer.text().await.unwrap_or_default();
+                if status.is_success() {
+                    return Ok(text);
+                }
+                if status.is_client_error() {
+                    return Err(CommandError::Order { status: status.as_u16(), reason: text });
+                }
+            }
+        }
+        Err(CommandError::Unanswered { last })
+    }
+
     fn with_token(&self, request: RequestBuilder) -> RequestBuilder {
         match &self.options.token {
             Some(token) => request.bearer_auth(token),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod change;
 mod replicas;
 mod show;
+mod tables;
 
 use {
     crate::{error::CommandError, options::CallOptions},
@@ -15,6 +16,7 @@
 pub(crate) fn subcommands() -> Vec<Command> {
     let mut all = change::subcommands();
     all.extend(show::subcommands());
+    all.extend(tables::subcommands());
     all.push(replicas::subcommand());
     all
 }
@@ -38,6 +40,8 @@
         "audit" => show::audit(options, arguments).await,
         "tally" => show::tally(options, arguments).await,
         "lookup" => show::lookup(options, arguments).await,
+        "table" => tables::table(options, arguments).await,
+        "evacuate" => tables::evacuate(options, arguments).await,
         _ => replicas::run(options, arguments).await,
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,6 +5,7 @@
 use {
     hemlockspool_model::{
         api::ReplicaAnswer, check::CheckFault, declaration::DeclarationError, names::ConfigVersion,
+        table::TableFault,
     },
     miette::Diagnostic,
     std::{io, path::PathBuf},
@@ -115,6 +116,27 @@
         /// The answer.
         answer: ReplicaAnswer,
     },
+    /// A route table has faults.
+    #[error("{path}: the table has {} fault(s)\n  {}", faults.len(), lines(faults))]
+    #[diagnostic(code(hemlockspool::table::faulty))]
+    Table {
+        /// The file.
+        path: PathBuf,
+        /// Each of them.
+        faults: Vec<TableFault>,
+    },
+    /// A replica refused an order.
+    #[error("refused with status {status}: {reason}")]
+    #[diagnostic(
+        code(hemlockspool::table::refused),
+        help("412 and 409: look at the table that stands and publish on top of its version")
+    )]
+    Order {
+        /// The HTTP status.
+        status: u16,
+        /// What the replica says.
+        reason: String,
+    },
     /// Nothing of that name.
     #[error("no such object")]
     #[diagnostic(code(hemlockspool::no_such_object))]
@@ -148,12 +170,14 @@
             | Self::Declarations { .. }
             | Self::Unreadable { .. }
             | Self::Faulty { .. }
+            | Self::Table { .. }
             | Self::NoSuchObject => 2,
-            Self::Conflict { .. } => 3,
+            Self::Conflict { .. } | Self::Order { status: 409 | 412, .. } => 3,
             Self::Unanswered { .. } => 4,
             Self::Runtime { .. }
             | Self::Unauthorised
             | Self::NotInForce { .. }
+            | Self::Order { .. }
             | Self::Replica { .. } => 1,
         }
     }
