--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -132,6 +132,29 @@
     }
 }
 
+#[test]
+fn load_that_rises_everywhere_moves_nothing() {
+    // Targets tell their load with their first answers, two seconds after the start; they are cold and
+    // full by then. The region has many entries.
+    let slots = map(&[("poor", 10.0), ("rich", 50.0), ("other", 40.0)]);
+    let mut plan = SpillPlan::default();
+    plan.set_entries(28);
+    let mut random = rand_pcg::Pcg32::seed_from_u64(1);
+    let demand = map(&[("poor", 10.0), ("rich", 10.0), ("other", 10.0)]);
+    let mut shares = [0.0_f64; 2];
+    for millis in (0..4_000).step_by(5) {
+        if millis % 250 == 0 {
+            plan.update(&"poor".into(), &demand, &slots, at(millis));
+        }
+        let told = if millis < WINDOW_MS { 0.1 } else { 2.0 };
+        let pressure = told + random.random_range(0.0..0.3);
+        let goes = plan.draw(random.random_range(0..400), pressure, at(millis)).is_some();
+        shares[(millis / WINDOW_MS) as usize] += if goes { 1.0 / 400.0 } else { 0.0 };
+    }
+    let change = (shares[1] - shares[0]).abs();
+    assert!(change <= SHIFT_BOUND, "{change}");
+}
+
 #[test]
 fn rich_region_keeps_its_work() {
     let slots = map(&[("poor", 10.0), ("rich", 50.0)]);
