--- a/crates/core/tests/desk.rs
+++ b/crates/core/tests/desk.rs
@@ -343,3 +343,11 @@
     let mut budget = RetryBudget::default();
     assert!(!budget.take(bound, 0, at(0)), "alone, an entry takes no part of the slack");
 }
+
+#[test]
+fn attempt_has_all_the_time_left() {
+    let mut desk = desk(1);
+    let mut job = admit(&mut desk, "/look/x", "k", at(1));
+    let JobOrder::Send(order) = desk.place(&mut job, at(501)) else { panic!("it can be sent") };
+    assert_eq!(order.left, Duration::from_millis(1_500), "it isn't given up before its time");
+}
