A leader checks no publication before its base is applied

Cause: a new leader whose log holds the base of a publication, not yet applied, appended the publication unchecked, and nothing checked it later: an invalid set came into force. Change: such a publication is answered like one at a replica that doesn't lead, so its sender retries. A base that no publication in the log can produce still ends as a conflict. publication_validated_by_new_leader failed 10 of 10 times before and passes.

--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -394,6 +394,11 @@
         entries
     }
 
+    /// Returns the entries in the log that aren't applied yet, committed or not.
+    pub(crate) fn unapplied_entries(&self) -> impl Iterator<Item = &LogEntry> {
+        self.log.after(self.applied_index)
+    }
+
     /// Takes a newly installed snapshot of a leader, which replaces the ledger, or returns `None`.
     pub fn take_installed_snapshot(&mut self) -> Option<SnapshotImage> {
         self.installed_snapshot.take()
--- a/crates/core/src/consensus/log_buffer.rs
+++ b/crates/core/src/consensus/log_buffer.rs
@@ -51,6 +51,11 @@
         self.entries.iter().skip(skip).take(limit).cloned().collect()
     }
 
+    /// Returns the entries after an index.
+    pub fn after(&self, index: u64) -> impl Iterator<Item = &LogEntry> {
+        self.entries.iter().skip(index.saturating_sub(self.base.index) as usize)
+    }
+
     /// Appends an entry.
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.position.index, self.last_position().index + 1);
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -243,7 +243,8 @@
     }
 
     /// Proposes a command or, if this replica isn't the leader, replies with the leader's address
-    /// if it is known.
+    /// if it is known. A publication whose base may be in the log but isn't applied yet can't be
+    /// checked; it gets the reply of a replica that doesn't lead, so that its sender retries.
     pub(crate) fn submit(
         &mut self,
         sender: &PeerSender,
@@ -251,9 +252,13 @@
         command: LedgerCommand,
         clock: ClockReading,
     ) -> Vec<NodeEffect> {
-        let command = self.validate_publication(command);
-        let payload = LogPayload::Command { at_ms: clock.wall_ms, command };
-        let Some(position) = self.group.propose(payload, clock.now) else {
+        let proposed = if self.awaits_base(&command) {
+            None
+        } else {
+            let command = self.validate_publication(command);
+            self.group.propose(LogPayload::Command { at_ms: clock.wall_ms, command }, clock.now)
+        };
+        let Some(position) = proposed else {
             let leader = self.group.leader_peer();
             let reply = SubmitReply::NotLeader { leader };
             let message = PeerMessage::Submitted { id, answer: reply };
@@ -263,8 +268,21 @@
         self.drain_effects()
     }
 
+    /// Returns whether a command is a publication on a version that a publication in the log, which
+    /// isn't applied yet, may produce.
+    fn awaits_base(&self, command: &LedgerCommand) -> bool {
+        let LedgerCommand::Publish(publish) = command else {
+            return false;
+        };
+        let is_publication = |entry: &LogEntry| {
+            matches!(entry.payload, LogPayload::Command { command: LedgerCommand::Publish(_), .. })
+        };
+        publish.base > self.ledger.version() && self.group.unapplied_entries().any(is_publication)
+    }
+
     /// Checks the set that a publication would produce, and adds the errors to the command. Checks
-    /// nothing if its base isn't the version of the last applied publication.
+    /// nothing if its base isn't the version of the last applied publication; the publication then
+    /// ends in a conflict when it is applied.
     fn validate_publication(&self, command: LedgerCommand) -> LedgerCommand {
         let LedgerCommand::Publish(mut publish) = command else {
             return command;
