Settle claims at the announced end; hold chunked bodies to their limit

Cause 1: the server stops polling a body after the bytes that its Content-Length announces, so a streamed response never reported its end and its claim stayed open. Change 1: the monitored stream counts down the announced bytes. Cause 2: a body without a length was streamed to the target without being counted. Change 2: a streamed body fails when it exceeds request_bytes, so that no target receives it whole; the caller gets 413, outcome unknown, and the target isn't blamed. at_most_once_large_response_settled and forwarding_chunked_body_over_limit failed each time before and pass.

--- a/crates/node/src/proxy/attempt.rs
+++ b/crates/node/src/proxy/attempt.rs
@@ -168,7 +168,7 @@
         }
         (RequestBody::Buffered(bytes), _) => Some(Body::from(bytes.clone())),
         (RequestBody::Streamed(body), region) => {
-            let stream = body.take()?.into_bytes_stream();
+            let stream = body.take()?.into_stream();
             Some(match region {
                 Some(region) => {
                     Body::wrap_stream(link_stream::rate_limited(stream, Arc::clone(shell), region))
--- a/crates/node/src/proxy/forwarding.rs
+++ b/crates/node/src/proxy/forwarding.rs
@@ -20,7 +20,7 @@
     hemlockspool_model::api::{RefusalReason, RefusalResponse, RunOutcome},
     poem::{Body, Request, Response, http::header},
     reqwest::Response as ClientResponse,
-    std::sync::Arc,
+    std::sync::{Arc, atomic::Ordering},
     tokio::{sync::mpsc::UnboundedReceiver, time::Instant},
 };
 
@@ -91,6 +91,11 @@
         };
         let attempt_number = dispatch.attempt;
         match make_attempt(shell, proxied, &dispatch).await {
+            AttemptOutcome::Ended(_) if proxied.body_exceeded.load(Ordering::Relaxed) => {
+                // The destination isn't to blame, so no result is reported: the request is closed
+                // as if its caller had gone away.
+                return ForwardResult::Final(refusal_response(shell, &body_too_large_refusal()));
+            }
             AttemptOutcome::Ended(result) => report_result(shell, id, &dispatch, result),
             AttemptOutcome::Complete { head, body } => {
                 let stored = proxied.at_most_once.then(|| stored_response(&head, Some(&body)));
@@ -136,6 +141,7 @@
         inner: Box::pin(response_stream(response)),
         guard,
         attempt,
+        bytes_left: head.size,
         result_at_end,
     };
     let own_region =
@@ -167,6 +173,11 @@
     RefusalResponse { reason, outcome: RunOutcome::NotRun, retry_after_ms: RETRY_AFTER_MS }
 }
 
+fn body_too_large_refusal() -> RefusalResponse {
+    let (reason, outcome) = (RefusalReason::BodyTooLarge, RunOutcome::Unknown);
+    RefusalResponse { reason, outcome, retry_after_ms: RETRY_AFTER_MS }
+}
+
 fn too_large_refusal() -> RefusalResponse {
     let (reason, outcome) = (RefusalReason::AnswerTooLarge, RunOutcome::Ran);
     RefusalResponse { reason, outcome, retry_after_ms: RETRY_AFTER_MS }
--- a/crates/node/src/proxy/request.rs
+++ b/crates/node/src/proxy/request.rs
@@ -3,9 +3,10 @@
 */
 
 use {
+    super::attempt::limit_body,
     crate::shell::NodeShell,
     bytes::{Bytes, BytesMut},
-    futures_util::StreamExt,
+    futures_util::{Stream, StreamExt, TryStreamExt},
     hemlockspool_core::requests::{IncomingRequest, RequestId},
     hemlockspool_model::{
         api::{
@@ -21,7 +22,12 @@
     },
     sha2::{Digest, Sha256},
     std::{
+        io,
         net::{IpAddr, Ipv4Addr},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
 };
@@ -36,7 +42,27 @@
     /// The whole body, in memory.
     Buffered(Bytes),
     /// A body that is forwarded while it arrives; `None` once an attempt has taken it.
-    Streamed(Option<Body>),
+    Streamed(Option<StreamedBody>),
+}
+
+/// A body that is forwarded while it arrives. It fails when it exceeds its kind's limit, so that a
+/// target never receives it whole.
+pub(crate) struct StreamedBody {
+    body: Body,
+    bytes_max: u64,
+    exceeded: Arc<AtomicBool>,
+}
+
+impl StreamedBody {
+    /// Returns the pieces of the body.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
+        let Self { body, bytes_max, exceeded } = self;
+        limit_body(body.into_bytes_stream(), bytes_max).inspect_err(move |error| {
+            if error.kind() == io::ErrorKind::FileTooLarge {
+                exceeded.store(true, Ordering::Relaxed);
+            }
+        })
+    }
 }
 
 /// A request that an entry forwards.
@@ -48,6 +74,8 @@
     pub tail: String,
     pub headers: HeaderMap,
     pub body: RequestBody,
+    /// Whether a streamed body has exceeded the limit of its kind.
+    pub body_exceeded: Arc<AtomicBool>,
     /// The length of the body in bytes, if known.
     pub body_bytes: Option<u64>,
     /// The caller's address, as seen by the first entry that received the request.
@@ -91,7 +119,13 @@
         let chunked = headers.contains_key(header::TRANSFER_ENCODING);
         let body_bytes = content_length.or((!chunked).then_some(0));
         let at_most_once = policy.repeat == RepeatPolicy::Never;
-        let body = buffer_body(body, body_bytes, at_most_once, &policy).await?;
+        let body_exceeded = Arc::new(AtomicBool::new(false));
+        let body = if at_most_once || body_bytes.is_some_and(|size| size <= BUFFERED_BYTES_MAX) {
+            buffer_body(body, policy.request_bytes).await?
+        } else {
+            let (bytes_max, exceeded) = (policy.request_bytes, Arc::clone(&body_exceeded));
+            RequestBody::Streamed(Some(StreamedBody { body, bytes_max, exceeded }))
+        };
         let forwarded_from = forwarder.as_ref().and_then(|name| region_of(shell, name));
         Ok(Self {
             method: parts.method,
@@ -100,6 +134,7 @@
             tail,
             body_bytes: body_size(&body).or(body_bytes),
             body,
+            body_exceeded,
             caller,
             forwarded_from,
             forwarded: forwarder.is_some(),
@@ -181,21 +216,12 @@
     }
 }
 
-async fn buffer_body(
-    body: Body,
-    content_length: Option<u64>,
-    at_most_once: bool,
-    policy: &KindPolicy,
-) -> Result<RequestBody, RefusalReason> {
-    let small = content_length.is_some_and(|size| size <= BUFFERED_BYTES_MAX);
-    if !small && !at_most_once {
-        return Ok(RequestBody::Streamed(Some(body)));
-    }
+async fn buffer_body(body: Body, bytes_max: u64) -> Result<RequestBody, RefusalReason> {
     let mut buffered = BytesMut::new();
     let mut stream = body.into_bytes_stream();
     while let Some(chunk) = stream.next().await {
         buffered.extend_from_slice(&chunk.map_err(|_| RefusalReason::AttemptFailed)?);
-        if buffered.len() as u64 > policy.request_bytes {
+        if buffered.len() as u64 > bytes_max {
             return Err(RefusalReason::BodyTooLarge);
         }
     }
--- a/crates/node/src/proxy/response.rs
+++ b/crates/node/src/proxy/response.rs
@@ -45,6 +45,9 @@
     pub inner: Pin<Box<S>>,
     pub guard: RequestGuard,
     pub attempt: u32,
+    /// The number of bytes that are still to come, if the response announced its length. The server
+    /// doesn't poll the stream again after the last of them.
+    pub bytes_left: Option<u64>,
     /// The result to report when the body is complete; taken once a result has been reported.
     pub result_at_end: Option<AttemptResult>,
 }
@@ -57,11 +60,15 @@
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let next = self.inner.poll_next_unpin(cx);
+        if let (Poll::Ready(Some(Ok(piece))), Some(left)) = (&next, &mut self.bytes_left) {
+            *left = left.saturating_sub(piece.len() as u64);
+        }
         let result = match &next {
             Poll::Ready(None) => self.result_at_end.take(),
             Poll::Ready(Some(Err(_))) => {
                 self.result_at_end.take().map(|_| AttemptResult::Truncated)
             }
+            Poll::Ready(Some(Ok(_))) if self.bytes_left == Some(0) => self.result_at_end.take(),
             _ => None,
         };
         if let Some(result) = result {
