Late senders on a link don't send together

Cause: senders on a link reserve time one after the other, but each began as soon as its time had come. When the machine was busy and several came late, they sent together, and the link carried more than its rate for as long as they were late: limits_link_bytes showed 1 to 5% over.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -194,6 +194,14 @@
         self.requests.reserve_link(to, bytes, &self.quotas, share, now)
     }
 
+    /// Begins to send bytes whose reserved time has come. Returns how long to wait before trying
+    /// again, which is zero if the bytes may be sent now, or `None` if the share of the link has
+    /// ended.
+    pub fn begin_on_link(&mut self, to: &RegionName, bytes: u64, now: Moment) -> Option<Duration> {
+        let share = self.peers.share(now);
+        self.requests.begin_on_link(to, bytes, &self.quotas, share, now)
+    }
+
     /// Processes an event and returns the effects for the shell to carry out.
     pub fn reduce(&mut self, event: NodeEvent, clock: ClockReading) -> Vec<NodeEffect> {
         let mut effects = match event {
--- a/crates/core/src/requests/limits.rs
+++ b/crates/core/src/requests/limits.rs
@@ -70,10 +70,17 @@
     }
 }
 
-/// Paces the bytes sent on a link, by the moment at which the link becomes free.
+/// Paces the bytes sent on a link.
+///
+/// Senders first reserve time, which puts them in order and shows how long the link is booked, and
+/// begin to send when that time comes. Senders that come late, because the machine was busy, must
+/// not send together: the link would carry more than its rate for as long as they were late.
 #[derive(Clone, Debug, Default)]
 pub struct LinkPacer {
+    /// The end of the reserved time.
     free_at: Moment,
+    /// The earliest moment at which the next sender may begin.
+    next_send_at: Moment,
 }
 
 /// The backlog at which a link stops accepting forwarded requests.
@@ -89,6 +96,18 @@
         Some(start.since(now))
     }
 
+    /// Begins to send bytes whose reserved time has come. Returns how long to wait before trying
+    /// again if the link still carries bytes of an earlier sender, or zero if the sender may begin.
+    /// Returns `None` if the rate is zero.
+    pub fn begin(&mut self, bytes: u64, bytes_per_second: u64, now: Moment) -> Option<Duration> {
+        let duration_us = bytes.saturating_mul(1_000_000).checked_div(bytes_per_second)?;
+        let wait = self.next_send_at.since(now);
+        if wait.is_zero() {
+            self.next_send_at = now.after(Duration::from_micros(duration_us));
+        }
+        Some(wait)
+    }
+
     /// Returns the time until the link is free.
     pub fn backlog(&self, now: Moment) -> Duration {
         self.free_at.since(now)
--- a/crates/core/src/requests/scheduler.rs
+++ b/crates/core/src/requests/scheduler.rs
@@ -347,10 +347,37 @@
         share: DomainShare,
         now: Moment,
     ) -> Option<Duration> {
+        self.pace_link(to, quotas, share, |pacer, rate| pacer.reserve(bytes, rate, now))
+    }
+
+    /// Begins to send bytes whose reserved time has come. Returns how long to wait before trying
+    /// again, which is zero if the bytes may be sent now, or `None` if the share of the link has
+    /// ended.
+    pub(crate) fn begin_on_link(
+        &mut self,
+        to: &RegionName,
+        bytes: u64,
+        quotas: &DomainQuotas,
+        share: DomainShare,
+        now: Moment,
+    ) -> Option<Duration> {
+        self.pace_link(to, quotas, share, |pacer, rate| pacer.begin(bytes, rate, now))
+    }
+
+    fn pace_link<F>(
+        &mut self,
+        to: &RegionName,
+        quotas: &DomainQuotas,
+        share: DomainShare,
+        pace: F,
+    ) -> Option<Duration>
+    where
+        F: FnOnce(&mut LinkPacer, u64) -> Option<Duration>,
+    {
         let Some((link, rate)) = quotas.link_rate(to, share) else {
             return Some(Duration::ZERO);
         };
-        self.link_pacers.entry(link.clone()).or_default().reserve(bytes, rate, now)
+        pace(self.link_pacers.entry(link.clone()).or_default(), rate)
     }
 }
 
--- a/crates/node/src/link_stream.rs
+++ b/crates/node/src/link_stream.rs
@@ -37,7 +37,7 @@
         let (shell, to) = (Arc::clone(&shell), to.clone());
         async move {
             if let Ok(piece) = &piece {
-                sleep(wait_for_capacity(&shell, &to, piece.len() as u64).await).await;
+                wait_for_capacity(&shell, &to, piece.len() as u64).await;
             }
             piece
         }
@@ -49,14 +49,22 @@
     stream::iter(split_chunk(body).into_iter().map(Ok))
 }
 
-/// Waits until this entry has a share of the link, and returns the remaining delay that its rate
-/// requires.
-async fn wait_for_capacity(shell: &NodeShell, to: &RegionName, bytes: u64) -> Duration {
-    loop {
+/// Waits until this entry has a share of the link, and until the rate of the share allows the bytes
+/// to be sent.
+async fn wait_for_capacity(shell: &NodeShell, to: &RegionName, bytes: u64) {
+    let reserved = loop {
         if let Some(wait) = shell.reserve_link(to, bytes) {
-            return wait;
+            break wait;
         }
         sleep(SHARE_CHECK_INTERVAL).await;
+    };
+    sleep(reserved).await;
+    loop {
+        let wait = shell.begin_on_link(to, bytes).unwrap_or(SHARE_CHECK_INTERVAL);
+        if wait.is_zero() {
+            return;
+        }
+        sleep(wait).await;
     }
 }
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -19,7 +19,7 @@
         requests::{RequestAction, RequestEvent, RequestId},
         wire::PeerEnvelope,
     },
-    hemlockspool_model::names::OperatorName,
+    hemlockspool_model::names::{OperatorName, RegionName},
     reqwest::Client,
     sha2::{Digest, Sha256},
     std::{
@@ -144,15 +144,17 @@
     }
 
     /// Reserves bytes on the link to a region; see [`NodeState::reserve_link`].
-    pub(crate) fn reserve_link(
-        &self,
-        to: &hemlockspool_model::names::RegionName,
-        bytes: u64,
-    ) -> Option<Duration> {
+    pub(crate) fn reserve_link(&self, to: &RegionName, bytes: u64) -> Option<Duration> {
         let now = self.now();
         self.lock().state.reserve_link(to, bytes, now)
     }
 
+    /// Begins to send reserved bytes on the link to a region; see [`NodeState::begin_on_link`].
+    pub(crate) fn begin_on_link(&self, to: &RegionName, bytes: u64) -> Option<Duration> {
+        let now = self.now();
+        self.lock().state.begin_on_link(to, bytes, now)
+    }
+
     /// Applies an event to the state and performs the resulting effects.
     pub(crate) fn apply(self: &Arc<Self>, event: NodeEvent) {
         let mut locked = self.lock();
