--- a/crates/core/src/fleet/routes.rs
+++ b/crates/core/src/fleet/routes.rs
@@ -5,8 +5,7 @@
 use {
     hemlockspool_model::{
         names::{RegionName, RouteName, ServiceName},
-        objects::RepeatPolicy,
-        table::{RouteRule, RouteTable},
+        table::{RouteRepeat, RouteRule, RouteTable},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -19,7 +18,7 @@
     /// The path prefix that it matches.
     pub prefix: String,
     /// Whether a request may run more than once.
-    pub repeat: RepeatPolicy,
+    pub repeat: RouteRepeat,
     /// The longest time that a request may take.
     pub timeout: Duration,
     /// The time within which a response has its full value.
--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -8,6 +8,7 @@
         clock::Moment,
         fleet::{decision_events::DecisionEvent, routes::ResolvedRoute},
         traffic::{
+            body_budget::KEPT_BODY_BYTES_MAX,
             connect_meter::ConnectTimeout,
             request::{AdmittedRequest, RefusalReason, RequestHead, RequestRefusal},
             route_stats::{RESPONSE_BYTES_DEFAULT, RouteStats},
@@ -59,9 +60,13 @@
         };
         let service = self.choose_service(&route);
         self.record_arrival(&route, &service);
-        let reserved_bytes = match self.reserve_link(&route, now) {
+        let body_memory = self.reserve_body_memory(head, &route)?;
+        let reserved_bytes = match self.reserve_link(&route, head.body_bytes, now) {
             Ok(bytes) => bytes,
-            Err(backlog) => return Err(self.refuse_saturated(head, backlog, now)),
+            Err(backlog) => {
+                self.body_budget.release(body_memory);
+                return Err(self.refuse_saturated(head, backlog, now));
+            }
         };
         self.retry_budgets.entry(service.clone()).or_default().record_request(now);
         self.request_counter = self.request_counter.wrapping_add(1);
@@ -85,6 +90,8 @@
             delivered_attempts: 0,
             failed_connects: 0,
             reserved_bytes,
+            body_memory,
+            body_consumed: false,
             connect_timeout: ConnectTimeout::default(),
             refused_with_capacity: false,
             possible_runs: 0,
@@ -93,21 +100,52 @@
         })
     }
 
-    /// Reserves link capacity for the response of a request, and returns the reserved bytes.
+    /// Reserves memory for the body of a request, and returns the reserved bytes.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the body is larger than the table allows or there is no memory left for it.
+    fn reserve_body_memory(
+        &mut self,
+        head: &RequestHead<'_>,
+        route: &ResolvedRoute,
+    ) -> Result<u64, RequestRefusal> {
+        let refusal = if head.body_bytes.is_some_and(|bytes| bytes > self.body_bytes_max()) {
+            RequestRefusal { reason: RefusalReason::BodyTooLarge, retry_after: None }
+        } else {
+            let bytes = head.body_bytes.unwrap_or(KEPT_BODY_BYTES_MAX).min(KEPT_BODY_BYTES_MAX);
+            if self.body_budget.try_reserve(bytes, route.priority) {
+                return Ok(bytes);
+            }
+            let retry_after = Some(RETRY_AFTER_NO_CAPACITY.0);
+            RequestRefusal { reason: RefusalReason::BodyMemory, retry_after }
+        };
+        self.log_refusal(head.id, refusal.reason, refusal.retry_after, 0);
+        Err(refusal)
+    }
+
+    /// Reserves link capacity for the body and the response of a request, and returns the reserved
+    /// bytes.
     ///
     /// # Errors
     ///
     /// The link's backlog, if it is too long for the route's priority.
-    fn reserve_link(&mut self, route: &ResolvedRoute, now: Moment) -> Result<f64, Duration> {
+    fn reserve_link(
+        &mut self,
+        route: &ResolvedRoute,
+        body_bytes: Option<u64>,
+        now: Moment,
+    ) -> Result<f64, Duration> {
         let backlog = self.link_meter.backlog(now);
         let priority = (route.priority as usize).min(LINK_BACKLOG_MAX.len() - 1);
         if backlog > LINK_BACKLOG_MAX[priority] {
             return Err(backlog);
         }
-        let bytes = self
-            .route_stats
-            .get(&route.name)
-            .map_or(RESPONSE_BYTES_DEFAULT, |(_, stats)| stats.response_bytes);
+        let stats = self.route_stats.get(&route.name).map(|(_, stats)| stats);
+        let response_bytes = stats.map_or(RESPONSE_BYTES_DEFAULT, |stats| stats.response_bytes);
+        // A body without a stated length is assumed to be like those before it.
+        let mean_body_bytes = stats.map_or(0.0, |stats| stats.body_bytes);
+        let bytes = response_bytes + body_bytes.map_or(mean_body_bytes, |bytes| bytes as f64);
         self.link_meter.reserve(bytes);
         Ok(bytes)
     }
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -11,17 +11,14 @@
             placement::{PlacementContext, PlacementError, TargetChoice, affinity_score},
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestRefusal,
-                TargetAttempt, TargetLoad,
+                TargetAttempt, TargetLoad, TransferredBytes,
             },
             router::RequestRouter,
             target_state::TargetHealth,
         },
         util::stable_hash,
     },
-    hemlockspool_model::{
-        names::{RegionName, ServiceName, TargetName},
-        objects::RepeatPolicy,
-    },
+    hemlockspool_model::names::{RegionName, ServiceName, TargetName},
     std::time::Duration,
 };
 
@@ -57,9 +54,12 @@
         if now >= request.deadline {
             return Err(if request.may_have_run { RefusalReason::TimedOut } else { exhausted });
         }
-        if request.may_have_run && request.route.repeat == RepeatPolicy::Never {
+        if request.may_have_run && request.route.repeat.is_at_most_once() {
             return Err(RefusalReason::OutcomeUnknown);
         }
+        if request.body_consumed {
+            return Err(exhausted);
+        }
         // A refused attempt doesn't count as a possible run, but at most one attempt more than the
         // route allows may reach a target.
         if request.possible_runs >= request.route.attempts
@@ -168,7 +168,7 @@
         }
         request.tried_targets.push(target.clone());
         let time_left = request.deadline.since(now);
-        let new_connection = request.route.repeat == RepeatPolicy::Never;
+        let new_connection = request.route.repeat.is_at_most_once();
         self.log_events.push(DecisionEvent::RequestSent {
             request: request.id.clone(),
             route: request.route.name.clone(),
@@ -220,6 +220,22 @@
         RequestRefusal { reason, retry_after }
     }
 
+    /// Ends a request because of its body, after an attempt has ended with
+    /// [`AttemptResult::BodyFailed`].
+    pub fn refuse_body(
+        &mut self,
+        request: &AdmittedRequest,
+        reason: RefusalReason,
+        now: Moment,
+    ) -> RequestRefusal {
+        RequestRefusal { retry_after: None, ..self.refuse(request, reason, now) }
+    }
+
+    /// Releases the memory that was reserved for the body of a request.
+    pub fn release_body_memory(&mut self, bytes: u64) {
+        self.body_budget.release(bytes);
+    }
+
     /// Records the time that a connection to a target took, if the target is in the entry's region.
     pub fn record_connect_time(&mut self, target: &TargetName, elapsed: Duration) {
         let state = self.targets.get(target);
@@ -254,7 +270,8 @@
             | AttemptResult::Interrupted
             | AttemptResult::ConnectionClosed
             | AttemptResult::TimedOut
-            | AttemptResult::Cancelled => {
+            | AttemptResult::Cancelled
+            | AttemptResult::BodyFailed => {
                 request.delivered_attempts += 1;
                 request.possible_runs += 1;
                 request.may_have_run = true;
@@ -310,7 +327,8 @@
             // objects to targets where all of them are cold.
             AttemptResult::TimedOut
             | AttemptResult::ConnectionClosed
-            | AttemptResult::Cancelled => None,
+            | AttemptResult::Cancelled
+            | AttemptResult::BodyFailed => None,
         };
         let reason = match result {
             AttemptResult::NotSent => "no connection",
@@ -321,6 +339,7 @@
             AttemptResult::ConnectionClosed => "kept connection ended",
             AttemptResult::TimedOut => "no answer in time",
             AttemptResult::Cancelled => "caller gone",
+            AttemptResult::BodyFailed => "broken body",
         };
         let is_success = matches!(result, AttemptResult::Answered { status, .. } if status < 500);
         if !is_success {
@@ -372,19 +391,18 @@
         }
     }
 
-    /// Records an answered request and the bytes that the request and the buffered part of its
-    /// response took on this entry's link.
+    /// Records an answered request and the bytes that it took on this entry's link.
     pub fn finish_request(
         &mut self,
         request: &AdmittedRequest,
         target: &TargetName,
         status: u16,
-        bytes: u64,
+        bytes: TransferredBytes,
         now: Moment,
     ) {
-        self.link_meter.record_bytes(bytes);
+        self.link_meter.record_bytes(bytes.body + bytes.response);
         if let Some((_, stats)) = self.route_stats.get_mut(&request.route.name) {
-            stats.record_response(bytes);
+            stats.record_transfer(bytes);
         }
         self.log_events.push(DecisionEvent::RequestAnswered {
             request: request.id.clone(),
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 * `route_stats` measures the processing time of routes. `link_meter` and `connect_meter` measure how
   congested the entry's link is, by its traffic and by connect times, and `retry_pacer` spreads the
   retries of refused callers over time.
+* [`body_budget`] limits the memory for callers' bodies.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
 * [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets.
 
@@ -17,6 +18,7 @@
 */
 
 mod admission;
+pub mod body_budget;
 pub mod cold_limiter;
 mod connect_meter;
 mod dispatch;
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -6,7 +6,7 @@
     crate::{clock::Moment, fleet::routes::ResolvedRoute, traffic::connect_meter::ConnectTimeout},
     hemlockspool_model::{
         names::{RegionName, ServiceName, TargetName},
-        objects::RepeatPolicy,
+        table::RouteRepeat,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -25,6 +25,8 @@
     pub key: Option<&'a str>,
     /// The longest time the caller waits, if it states one.
     pub timeout: Option<Duration>,
+    /// The length of the body in bytes; none if the caller doesn't state it.
+    pub body_bytes: Option<u64>,
 }
 
 /// An admitted request.
@@ -52,8 +54,13 @@
     pub(crate) delivered_attempts: u32,
     /// The number of attempts in which nothing was sent.
     pub(crate) failed_connects: u32,
-    /// The bytes reserved on the entry's link for its response.
+    /// The bytes reserved on the entry's link for its body and its response.
     pub(crate) reserved_bytes: f64,
+    /// The memory reserved for its body, in bytes. Must be released when the request ends.
+    pub body_memory: u64,
+    /// Whether a part of its body has been sent that isn't kept, so that no other target can get
+    /// it.
+    pub body_consumed: bool,
     /// The connect timeout of the last attempt.
     pub(crate) connect_timeout: ConnectTimeout,
     /// Whether the last target that refused it reported free capacity.
@@ -67,7 +74,9 @@
 impl AdmittedRequest {
     /// Returns whether the request may be retried even if the attempt under way runs it.
     pub fn may_retry(&self) -> bool {
-        self.route.repeat == RepeatPolicy::Safe && self.possible_runs + 1 < self.route.attempts
+        self.route.repeat == RouteRepeat::Safe
+            && self.possible_runs + 1 < self.route.attempts
+            && !self.body_consumed
     }
 }
 
@@ -103,6 +112,14 @@
     NoTarget,
     /// This entry is stopping.
     Stopping,
+    /// Its body is larger than the table allows.
+    BodyTooLarge,
+    /// This entry has no memory left for its body.
+    BodyMemory,
+    /// Its caller was silent for too long within the body.
+    BodyStalled,
+    /// Its body ended before its announced length.
+    BodyIncomplete,
     /// Its attempts failed, and a target may have run it.
     OutcomeUnknown,
     /// Its deadline has passed, and a target may have run it.
@@ -119,14 +136,22 @@
             Self::LinkSaturated => "link full",
             Self::NoTarget => "no target",
             Self::Stopping => "stopping",
+            Self::BodyTooLarge => "body too large",
+            Self::BodyMemory => "no memory for the body",
+            Self::BodyStalled => "body stalled",
+            Self::BodyIncomplete => "body incomplete",
             Self::OutcomeUnknown => "unclear",
             Self::TimedOut => "timed out",
         }
     }
 
-    /// Returns whether the request certainly has not run and will not.
+    /// Returns whether the request certainly has not run and will not. A target may run a request
+    /// before it has received the whole body.
     pub fn is_known_not_run(self) -> bool {
-        !matches!(self, Self::OutcomeUnknown | Self::TimedOut)
+        !matches!(
+            self,
+            Self::OutcomeUnknown | Self::TimedOut | Self::BodyStalled | Self::BodyIncomplete
+        )
     }
 }
 
@@ -160,6 +185,16 @@
     pub slots: u32,
 }
 
+/// The bytes that a request took on the entry's link.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TransferredBytes {
+    /// The bytes of the request's body.
+    pub body: u64,
+    /// The bytes of the response's body, without the streamed part of a large one, and of both
+    /// heads.
+    pub response: u64,
+}
+
 /// The result of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptResult {
@@ -189,12 +224,14 @@
     TimedOut,
     /// The caller disconnected.
     Cancelled,
+    /// The caller's body was too large, stalled or ended early while it was passed on.
+    BodyFailed,
 }
 
 impl AttemptResult {
     /// Returns whether the attempt certainly had a connection, new or reused, to the target's
     /// address.
     pub(crate) fn reached_target(self) -> bool {
-        !matches!(self, Self::NotSent | Self::TimedOut | Self::Cancelled)
+        !matches!(self, Self::NotSent | Self::TimedOut | Self::Cancelled | Self::BodyFailed)
     }
 }
--- a/crates/core/src/traffic/route_stats.rs
+++ b/crates/core/src/traffic/route_stats.rs
@@ -2,7 +2,7 @@
 Statistics of a route's requests at one entry: their rate, processing time and response size.
 */
 
-use std::time::Duration;
+use {crate::traffic::request::TransferredBytes, std::time::Duration};
 
 /// The fraction of the route's goal that is assumed as processing time before the first
 /// measurement.
@@ -19,8 +19,8 @@
 const MEAN_SAMPLE_RATIO_MAX: f64 = 2.0;
 /// The bytes that a response is assumed to take on the link before the first response.
 pub(super) const RESPONSE_BYTES_DEFAULT: f64 = 3_000.0;
-/// The weight of a new response in the mean bytes that a response takes.
-const RESPONSE_BYTES_SMOOTHING: f64 = 0.05;
+/// The weight of a new request in the mean bytes that a request takes.
+const TRANSFER_BYTES_SMOOTHING: f64 = 0.05;
 /// The time constant of the average request rate.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
 
@@ -33,9 +33,11 @@
     pub warm_processing_ms: f64,
     /// The mean processing time of all requests, in milliseconds.
     mean_processing_ms: f64,
-    /// The mean bytes that a response takes on the link, including its request's body and headers
-    /// but not the streamed part of a large response.
+    /// The mean bytes that a response and both heads take on the link, without the streamed part of
+    /// a large response.
     pub response_bytes: f64,
+    /// The mean bytes of a request's body.
+    pub body_bytes: f64,
 }
 
 impl RouteStats {
@@ -48,6 +50,7 @@
             warm_processing_ms,
             mean_processing_ms: warm_processing_ms,
             response_bytes: RESPONSE_BYTES_DEFAULT,
+            body_bytes: 0.0,
         }
     }
 
@@ -77,9 +80,13 @@
         self.mean_processing_ms += MEAN_SMOOTHING * (sample_ms - self.mean_processing_ms);
     }
 
-    /// Records the bytes that a response took on the link, with its request's body and headers.
-    pub(crate) fn record_response(&mut self, bytes: u64) {
-        self.response_bytes += RESPONSE_BYTES_SMOOTHING * (bytes as f64 - self.response_bytes);
+    /// Records the bytes that an answered request took on the link.
+    pub(crate) fn record_transfer(&mut self, bytes: TransferredBytes) {
+        let update = |mean: &mut f64, sample: u64| {
+            *mean += TRANSFER_BYTES_SMOOTHING * (sample as f64 - *mean);
+        };
+        update(&mut self.response_bytes, bytes.response);
+        update(&mut self.body_bytes, bytes.body);
     }
 
     /// Returns the number of slots that the requests keep busy.
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -13,6 +13,7 @@
             routes::RouteIndex,
         },
         traffic::{
+            body_budget::BodyBudget,
             connect_meter::ConnectMeter,
             link_meter::LinkMeter,
             retry_budget::{RetryBudget, RetryLimit},
@@ -24,7 +25,7 @@
     },
     hemlockspool_model::{
         names::{DomainName, RegionName, RouteName, ServiceName, TargetName},
-        table::{RouteTable, ServicePolicy},
+        table::{RequestLimits, RouteTable, ServicePolicy},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -43,6 +44,11 @@
 /// say.
 const COLD_START_DEFAULT: Duration = Duration::from_secs(3);
 
+/// The size of the largest body if the table doesn't say, in bytes.
+const BODY_BYTES_MAX_DEFAULT: u64 = 64 << 20;
+/// The time for which a caller may be silent within a body if the table doesn't say.
+const BODY_SILENCE_MAX_DEFAULT: Duration = Duration::from_secs(15);
+
 /// The settings of a router.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -56,6 +62,8 @@
     pub retry_limit: RetryLimit,
     /// The capacity of this entry's link in each direction, in bytes per second.
     pub link_bytes_per_s: f64,
+    /// The memory for the parts of callers' bodies that are kept, in bytes.
+    pub body_memory_bytes: u64,
 }
 
 /// The router of one entry's requests to targets.
@@ -68,7 +76,9 @@
     pub(super) targets: BTreeMap<TargetName, TargetState>,
     pub(super) pools: BTreeMap<ServiceName, BTreeMap<RegionName, Vec<TargetName>>>,
     pub(super) targets_by_hash: BTreeMap<u32, TargetName>,
+    pub(super) limits: RequestLimits,
     pub(super) link_meter: LinkMeter,
+    pub(super) body_budget: BodyBudget,
     pub(super) retry_pacer: RetryPacer,
     pub(super) connect_meter: ConnectMeter,
     pub(super) evacuated: BTreeSet<DomainName>,
@@ -92,6 +102,7 @@
     pub fn new(settings: RouterSettings, now: Moment) -> Self {
         let link_meter = LinkMeter::new(settings.link_bytes_per_s);
         let retry_pacer = RetryPacer::new(settings.link_bytes_per_s);
+        let body_budget = BodyBudget::new(settings.body_memory_bytes);
         Self {
             settings,
             routes: RouteIndex::default(),
@@ -100,7 +111,9 @@
             targets: BTreeMap::new(),
             pools: BTreeMap::new(),
             targets_by_hash: BTreeMap::new(),
+            limits: RequestLimits::default(),
             link_meter,
+            body_budget,
             retry_pacer,
             connect_meter: ConnectMeter::default(),
             evacuated: BTreeSet::new(),
@@ -123,6 +136,21 @@
         self.table_version
     }
 
+    /// Returns the limits on callers' requests and connections.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Returns the size of the largest body that a request may have, in bytes.
+    pub fn body_bytes_max(&self) -> u64 {
+        self.limits.max_body_bytes.unwrap_or(BODY_BYTES_MAX_DEFAULT)
+    }
+
+    /// Returns the time for which a caller may be silent within a body.
+    pub fn body_silence_max(&self) -> Duration {
+        self.limits.idle_timeout.map_or(BODY_SILENCE_MAX_DEFAULT, |timeout| timeout.0)
+    }
+
     /// Returns whether any target is known.
     pub fn has_targets(&self) -> bool {
         !self.targets.is_empty()
@@ -142,6 +170,7 @@
     pub fn set_table(&mut self, table: &RouteTable) {
         self.routes = RouteIndex::new(table);
         self.table_version = Some(table.version);
+        self.limits = table.limits.clone();
         self.services =
             table.services.iter().map(|policy| (policy.name.clone(), policy.clone())).collect();
         let known: BTreeSet<&RouteName> = table.routes.iter().map(|rule| &rule.name).collect();
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -54,6 +54,7 @@
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
         link_bytes_per_s: 1e8,
+        body_memory_bytes: 16 << 20,
     };
     let location = InstancePlace { region: "r".into(), domain: "d".into() };
     let parts = EntryParts {
@@ -134,7 +135,8 @@
 
 /// Admits a request for a path, or returns the reason of the refusal.
 fn admit(entry: &mut EntryState, path: &str) -> Result<(), RefusalReason> {
-    let head = RequestHead { id: "1", host: "h", path, key: None, timeout: None };
+    let head =
+        RequestHead { id: "1", host: "h", path, key: None, timeout: None, body_bytes: Some(0) };
     let admitted = entry.router.admit(&head, at(100));
     admitted.map(|_| ()).map_err(|refusal| refusal.reason)
 }
--- a/crates/core/tests/load_patterns.rs
+++ b/crates/core/tests/load_patterns.rs
@@ -55,6 +55,7 @@
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
         link_bytes_per_s,
+        body_memory_bytes: 16 << 20,
     };
     let mut router = RequestRouter::new(settings, at(0));
     router.set_table(&RouteTable::parse(TABLE).unwrap());
@@ -79,7 +80,14 @@
     key: &str,
     now: Moment,
 ) -> Result<AdmittedRequest, RefusalReason> {
-    let head = RequestHead { id: "1", host: "h", path, key: Some(key), timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path,
+        key: Some(key),
+        timeout: None,
+        body_bytes: Some(0),
+    };
     router.admit(&head, now).map_err(|refusal| refusal.reason)
 }
 
@@ -431,7 +439,14 @@
     for step in 0..100 {
         let now = at(step * 10);
         let (key, timeout) = ((step % 40).to_string(), Some(Duration::from_millis(60)));
-        let head = RequestHead { id: "1", host: "h", path: "/look/x", key: Some(&key), timeout };
+        let head = RequestHead {
+            id: "1",
+            host: "h",
+            path: "/look/x",
+            key: Some(&key),
+            timeout,
+            body_bytes: Some(0),
+        };
         let mut request = router.admit(&head, now).unwrap();
         if let DispatchDecision::Send(attempt) = router.dispatch(&mut request, now) {
             let result = AttemptResult::NotSent;
--- a/crates/core/tests/outages.rs
+++ b/crates/core/tests/outages.rs
@@ -66,6 +66,7 @@
         domains: (0..3).map(region).collect(),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
         link_bytes_per_s: 1e9,
+        body_memory_bytes: 16 << 20,
     };
     let mut router = RequestRouter::new(settings, at(0));
     router.set_table(&RouteTable::parse(TABLE).unwrap());
@@ -107,7 +108,14 @@
     (connect_time, now): (Duration, Moment),
 ) -> usize {
     let key = key.to_string();
-    let head = RequestHead { id: "1", host: "h", path: "/", key: Some(&key), timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path: "/",
+        key: Some(&key),
+        timeout: None,
+        body_bytes: Some(0),
+    };
     let mut request = router.admit(&head, now).unwrap();
     let mut timeouts = 0;
     while let DispatchDecision::Send(attempt) = router.dispatch(&mut request, now) {
@@ -200,7 +208,14 @@
 
 /// Returns the connect timeout of the first attempt of a request.
 fn connect_timeout(router: &mut RequestRouter) -> Duration {
-    let head = RequestHead { id: "1", host: "h", path: "/", key: Some("1"), timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path: "/",
+        key: Some("1"),
+        timeout: None,
+        body_bytes: Some(0),
+    };
     let mut request = router.admit(&head, at(100)).unwrap();
     let DispatchDecision::Send(attempt) = router.dispatch(&mut request, at(100)) else {
         panic!("the request is refused")
@@ -272,14 +287,28 @@
     // Only the target that responded after the reported outages gets requests.
     assert_eq!(request(&mut router, &BTreeSet::new(), 1, (CONNECT_TIME_IDLE, at(1_000))), 0);
     router.apply_outages(&reports, at(1_100));
-    let head = RequestHead { id: "1", host: "h", path: "/", key: Some("1"), timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path: "/",
+        key: Some("1"),
+        timeout: None,
+        body_bytes: Some(0),
+    };
     let mut request = router.admit(&head, at(1_100)).unwrap();
     let DispatchDecision::Send(first) = router.dispatch(&mut request, at(1_100)) else {
         panic!("the request is refused")
     };
     for key in 2..40_u32 {
         let key = key.to_string();
-        let head = RequestHead { id: "1", host: "h", path: "/", key: Some(&key), timeout: None };
+        let head = RequestHead {
+            id: "1",
+            host: "h",
+            path: "/",
+            key: Some(&key),
+            timeout: None,
+            body_bytes: Some(0),
+        };
         let mut request = router.admit(&head, at(1_100)).unwrap();
         if let DispatchDecision::Send(attempt) = router.dispatch(&mut request, at(1_100)) {
             assert_eq!(attempt.target, first.target);
--- a/crates/core/tests/request_router.rs
+++ b/crates/core/tests/request_router.rs
@@ -97,6 +97,7 @@
         domains: domains(),
         retry_limit,
         link_bytes_per_s: 1e8,
+        body_memory_bytes: 16 << 20,
     };
     let mut router = RequestRouter::new(settings, at(0));
     router.set_table(&RouteTable::parse(TABLE).unwrap());
@@ -107,7 +108,14 @@
 
 /// Admits a request with an affinity key.
 fn admit(router: &mut RequestRouter, path: &str, key: &str, now: Moment) -> AdmittedRequest {
-    let head = RequestHead { id: "1", host: "h", path, key: Some(key), timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path,
+        key: Some(key),
+        timeout: None,
+        body_bytes: Some(0),
+    };
     router.admit(&head, now).unwrap()
 }
 
@@ -204,9 +212,17 @@
         domains: domains(),
         retry_limit,
         link_bytes_per_s: 1e8,
+        body_memory_bytes: 16 << 20,
     };
     let mut router = RequestRouter::new(settings, at(0));
-    let head = RequestHead { id: "1", host: "h", path: "/none/", key: None, timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path: "/none/",
+        key: None,
+        timeout: None,
+        body_bytes: Some(0),
+    };
     let refusal = router.admit(&head, at(1)).unwrap_err();
     assert_eq!(
         refusal.reason,
@@ -226,9 +242,17 @@
         domains: domains(),
         retry_limit,
         link_bytes_per_s,
+        body_memory_bytes: 16 << 20,
     };
     let mut router = RequestRouter::new(settings, at(0));
-    let head = RequestHead { id: "1", host: "shop", path: "/read/x", key: None, timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "shop",
+        path: "/read/x",
+        key: None,
+        timeout: None,
+        body_bytes: Some(0),
+    };
     let refusals = (0..requests).map(|_| router.admit(&head, at(5)).unwrap_err());
     refusals.map(|refusal| refusal.retry_after.unwrap()).collect()
 }
@@ -258,7 +282,14 @@
     let mut router = router(1);
     assert_eq!(admit(&mut router, "/look/x", "k", at(1)).route.name.as_str(), "look");
     assert_eq!(admit(&mut router, "/look/deep/x", "k", at(1)).route.name.as_str(), "deep");
-    let head = RequestHead { id: "1", host: "h", path: "/other/", key: None, timeout: None };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path: "/other/",
+        key: None,
+        timeout: None,
+        body_bytes: Some(0),
+    };
     assert_eq!(router.admit(&head, at(1)).unwrap_err().reason, RefusalReason::NoRoute);
 }
 
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -9,7 +9,6 @@
     crate::{
         duration::TextDuration,
         names::{RegionName, RouteName, ServiceName},
-        objects::RepeatPolicy,
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeSet, time::Duration},
@@ -30,7 +29,7 @@
     pub routes: Vec<RouteRule>,
     /// The services that the routes refer to.
     pub services: Vec<ServicePolicy>,
-    /// The limits on callers' requests and connections, which entries don't enforce.
+    /// The limits on callers' requests and connections.
     pub limits: RequestLimits,
 }
 
@@ -43,8 +42,8 @@
     pub host: String,
     /// The path prefix that the route matches; the longest matching prefix wins.
     pub prefix: String,
-    /// Whether a request may run more than once.
-    pub repeat: RepeatPolicy,
+    /// Whether a request may run more than once, and whether its body is large.
+    pub repeat: RouteRepeat,
     /// The longest time that a request may wait for its response.
     pub timeout: TextDuration,
     /// The time within which a response has its full value; the timeout by default.
@@ -65,6 +64,28 @@
     pub homes: Option<Vec<RegionName>>,
 }
 
+/// Whether requests of a route may run more than once.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteRepeat {
+    /// A request is idempotent and may be retried.
+    #[default]
+    Safe,
+    /// A request runs at most once: it isn't repeated if a target may have run it.
+    Never,
+    /// A request runs at most once, as with [`Never`](Self::Never), and carries a large body. The
+    /// body is passed on while it arrives; once more of it has been sent than an entry keeps, no
+    /// other target can get the request, even if the first one didn't run it.
+    Upload,
+}
+
+impl RouteRepeat {
+    /// Returns whether a request must not be repeated if a target may have run it.
+    pub fn is_at_most_once(self) -> bool {
+        self != Self::Safe
+    }
+}
+
 /// A service and its share of a split.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WeightedService {
@@ -91,17 +112,18 @@
     pub cold_per_s: Option<f64>,
 }
 
-/// Limits on callers' requests and connections. Entries accept them in a table but don't enforce
-/// them.
+/// Limits on callers' requests and connections, which entries enforce. Those on heads apply to
+/// connections that open after the table has come into force.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RequestLimits {
-    /// The largest request head, in bytes.
+    /// The largest request head, in bytes; 64 KiB by default, 8 KiB at least.
     pub max_header_bytes: Option<u64>,
-    /// The largest request body, in bytes.
+    /// The largest request body, in bytes; 64 MiB by default.
     pub max_body_bytes: Option<u64>,
-    /// The time within which the head of a request must be received.
+    /// The time within which the head of a request must be received; 60 s by default.
     pub header_timeout: Option<TextDuration>,
-    /// The time for which a connection may stay idle.
+    /// The time for which a caller may be silent within a request body; 15 s by default. Entries
+    /// close connections between two requests sooner, after a time that they announce.
     pub idle_timeout: Option<TextDuration>,
 }
 
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -8,11 +8,10 @@
 */
 
 use {
+    super::request_body::AttemptBody,
     crate::peer_link::set_unacked_timeout,
-    bytes::Bytes,
     hemlockspool_core::traffic::request::TargetAttempt,
     hemlockspool_model::names::TargetName,
-    http_body_util::Full,
     hyper::{
         Request, Response,
         body::Incoming,
@@ -51,9 +50,8 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A connection to a target. Dropping it closes it, which also cancels the request at the target.
-#[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<AttemptBody>,
     task: AbortHandle,
     /// The time that it took to connect; taken when the first response arrives.
     connect_time: Option<Duration>,
@@ -73,14 +71,12 @@
     }
 }
 
-#[derive(Debug)]
 struct IdleConnection {
     connection: TargetConnection,
     expires_at: Instant,
 }
 
 /// The result of sending a request.
-#[derive(Debug)]
 pub(crate) enum SendResult {
     /// The head of a response and the connection that carries its body.
     Head(Response<Incoming>, TargetConnection),
@@ -94,7 +90,7 @@
 }
 
 /// The idle connections, which later requests reuse.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle_connections: Mutex<BTreeMap<TargetName, Vec<IdleConnection>>>,
 }
@@ -104,7 +100,7 @@
     pub(crate) async fn send(
         &self,
         attempt: &TargetAttempt,
-        request: Request<Full<Bytes>>,
+        request: Request<AttemptBody>,
     ) -> SendResult {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(attempt) {
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -10,44 +10,59 @@
     super::{
         connection_pool::{SendResult, TargetConnection},
         entry_shell::EntryShell,
+        request_body::{AttemptBody, BodyLimits, RequestBody},
         response_body::{ResponseBody, read_body, stream_body},
     },
     bytes::Bytes,
     hemlockspool_core::{
         clock::Moment,
-        traffic::request::{
-            AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestHead,
-            RequestRefusal, TargetAttempt,
+        traffic::{
+            body_budget::KEPT_BODY_BYTES_MAX,
+            request::{
+                AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestHead,
+                RequestRefusal, TargetAttempt, TransferredBytes,
+            },
+            router::RequestRouter,
         },
     },
     hemlockspool_model::names::TargetName,
     hemlockspool_platform::headers::{self, ResponseClass},
-    http_body_util::Full,
-    hyper::body::Incoming,
+    http_body_util::combinators::BoxBody,
+    hyper::body::{Body as _, Incoming},
     poem::{
         Body, Request, Response,
         http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header, response::Parts},
     },
-    std::{sync::Arc, time::Duration},
+    std::{io, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
-/// The largest request body that is accepted, in bytes.
-const REQUEST_BYTES_MAX: usize = 64 << 20;
 /// The largest request body, in bytes, after which a connection is reused. A target that responds
 /// before it has read a larger body may leave the rest of it unread on the connection.
-const REUSE_REQUEST_BYTES_MAX: usize = 16 << 10;
+const REUSE_REQUEST_BYTES_MAX: u64 = 16 << 10;
 
 /// The approximate number of bytes that the heads of a request and of its response take on a link,
 /// together with the packet headers.
 const HEADER_OVERHEAD_BYTES: u64 = 900;
 
-/// A request with its whole body, to be sent to one or more targets.
-struct BufferedRequest {
+/// A caller's request, to be sent to one or more targets.
+struct CallerRequest {
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: RequestBody,
+}
+
+/// The memory reserved for the body of a request; released when dropped.
+struct BodyMemory<'a> {
+    shell: &'a EntryShell,
+    bytes: u64,
+}
+
+impl Drop for BodyMemory<'_> {
+    fn drop(&mut self) {
+        self.shell.with_state(|state, _| state.router.release_body_memory(self.bytes));
+    }
 }
 
 /// An attempt in progress. If dropped before its end, it is reported as cancelled.
@@ -102,8 +117,9 @@
 }
 
 async fn forward(shell: &EntryShell, mut request: Request) -> Response {
-    let body = request.take_body();
-    let admitted = {
+    let incoming: BoxBody<Bytes, io::Error> = request.take_body().into();
+    let expects_continue = request.headers().contains_key(header::EXPECT);
+    let (limits, admitted) = {
         let id = headers::request_id(request.headers());
         let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
         let head = RequestHead {
@@ -112,41 +128,65 @@
             path: request.uri().path(),
             key: headers::affinity_key(request.headers()),
             timeout: headers::caller_timeout(request.headers()),
+            body_bytes: incoming.size_hint().exact(),
         };
-        shell.with_state(|state, now| state.router.admit(&head, now))
-    };
-    let mut admitted = match admitted {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refusal_response(refusal),
+        shell.with_state(|state, now| {
+            let limits = BodyLimits {
+                bytes_max: state.router.body_bytes_max(),
+                kept_bytes_max: KEPT_BODY_BYTES_MAX,
+                silence_max: state.router.body_silence_max(),
+            };
+            (limits, state.router.admit(&head, now))
+        })
     };
-    let time_left = admitted.deadline.since(shell.now());
-    let body = match timeout(time_left, body.into_bytes_limit(REQUEST_BYTES_MAX)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(_)) => return StatusCode::PAYLOAD_TOO_LARGE.into(),
-        Err(_) => return StatusCode::REQUEST_TIMEOUT.into(),
-    };
-    let uri = request.uri().path_and_query().map(|path| Uri::from(path.clone()));
-    let buffered = BufferedRequest {
-        method: request.method().clone(),
-        uri: uri.unwrap_or_default(),
-        headers: request.headers().clone(),
-        body,
+    let body = RequestBody::new(incoming, limits, expects_continue);
+    let response = match admitted {
+        Ok(admitted) => {
+            let uri = request.uri().path_and_query().map(|path| Uri::from(path.clone()));
+            let caller = CallerRequest {
+                method: request.method().clone(),
+                uri: uri.unwrap_or_default(),
+                headers: request.headers().clone(),
+                body: body.clone(),
+            };
+            forward_admitted(shell, admitted, &caller).await
+        }
+        Err(refusal) => refusal_response(refusal),
     };
+    body.discard_rest();
+    response
+}
+
+/// Makes attempts until one has a response for the caller or the request is refused.
+async fn forward_admitted(
+    shell: &EntryShell,
+    mut admitted: AdmittedRequest,
+    caller: &CallerRequest,
+) -> Response {
+    let _memory = BodyMemory { shell, bytes: admitted.body_memory };
     loop {
+        admitted.body_consumed = caller.body.is_consumed();
         let attempt = match shell.with_state(|state, now| state.router.dispatch(&mut admitted, now))
         {
             DispatchDecision::Send(attempt) => attempt,
             DispatchDecision::Refuse(refusal) => return refusal_response(refusal),
         };
-        if let Some(response) = make_attempt(shell, &mut admitted, &attempt, &buffered).await {
+        if let Some(response) = make_attempt(shell, &mut admitted, &attempt, caller).await {
             let status = response.parts.status.as_u16();
-            let bytes =
-                response.buffered_bytes + buffered.body.len() as u64 + HEADER_OVERHEAD_BYTES;
+            let bytes = TransferredBytes {
+                body: caller.body.received_bytes(),
+                response: response.buffered_bytes + HEADER_OVERHEAD_BYTES,
+            };
             shell.with_state(|state, now| {
                 state.router.finish_request(&admitted, &attempt.target, status, bytes, now);
             });
             return caller_response(response);
         }
+        if let Some(reason) = caller.body.failure() {
+            let refuse =
+                |router: &mut RequestRouter, now| router.refuse_body(&admitted, reason, now);
+            return refusal_response(shell.with_state(|state, now| refuse(&mut state.router, now)));
+        }
     }
 }
 
@@ -155,15 +195,19 @@
     shell: &EntryShell,
     admitted: &mut AdmittedRequest,
     attempt: &TargetAttempt,
-    buffered: &BufferedRequest,
+    caller: &CallerRequest,
 ) -> Option<TargetResponse> {
     let id = admitted.id.clone();
     let is_last = !admitted.may_retry();
     let started = shell.now();
     let guard =
         AttemptGuard { shell, admitted, target: &attempt.target, started, in_progress: true };
-    let exchange = exchange(shell, attempt, buffered, &id);
+    let exchange = exchange(shell, attempt, caller, &id);
     let (result, response) = match timeout(attempt.time_left, exchange).await {
+        // The target isn't to blame if the body broke.
+        Ok((AttemptResult::Interrupted, _)) if caller.body.failure().is_some() => {
+            (AttemptResult::BodyFailed, None)
+        }
         Ok((result, response)) => (result, response),
         Err(_) => (AttemptResult::TimedOut, None),
     };
@@ -178,10 +222,10 @@
 async fn exchange(
     shell: &EntryShell,
     attempt: &TargetAttempt,
-    buffered: &BufferedRequest,
+    caller: &CallerRequest,
     id: &str,
 ) -> (AttemptResult, Option<TargetResponse>) {
-    let request = build_request(attempt, buffered);
+    let request = build_request(attempt, caller);
     let (head, mut connection) = match shell.pool.send(attempt, request).await {
         SendResult::Head(head, connection) => (head, connection),
         SendResult::NotSent => return (AttemptResult::NotSent, None),
@@ -193,20 +237,20 @@
             .with_state(|state, _| state.router.record_connect_time(&attempt.target, connect_time));
     }
     let (parts, body) = head.into_parts();
-    let reusable = buffered.body.len() <= REUSE_REQUEST_BYTES_MAX;
     match headers::classify_response(parts.status, &parts.headers, id) {
         ResponseClass::Untrusted => (AttemptResult::Interrupted, None),
         ResponseClass::NotRun { load, replaced } => {
             // The head is enough to know that the request did not run; the body only decides
             // whether the connection can be reused.
             if let Ok(ResponseBody::Complete(_)) = read_body(body).await {
-                return_connection(shell, attempt, connection, &parts, reusable && !replaced);
+                let reusable = !replaced && allows_reuse(&caller.body);
+                return_connection(shell, attempt, connection, &parts, reusable);
             }
             (AttemptResult::NotRun { load, replaced }, None)
         }
         ResponseClass::FromTarget { load, .. } => {
             let result = AttemptResult::Answered { status: parts.status.as_u16(), load };
-            match read_response(shell, attempt, parts, body, connection, reusable).await {
+            match read_response(shell, attempt, parts, body, connection, &caller.body).await {
                 Some(response) => (result, Some(response)),
                 None => (AttemptResult::Interrupted, None),
             }
@@ -220,11 +264,11 @@
     parts: Parts,
     body: Incoming,
     connection: TargetConnection,
-    reusable: bool,
+    request_body: &RequestBody,
 ) -> Option<TargetResponse> {
     match read_body(body).await.ok()? {
         ResponseBody::Complete(bytes) => {
-            return_connection(shell, attempt, connection, &parts, reusable);
+            return_connection(shell, attempt, connection, &parts, allows_reuse(request_body));
             let buffered_bytes = bytes.len() as u64;
             Some(TargetResponse { parts, body: Body::from(bytes), buffered_bytes })
         }
@@ -236,6 +280,11 @@
     }
 }
 
+/// Returns whether a connection may carry another request after this body.
+fn allows_reuse(body: &RequestBody) -> bool {
+    body.is_complete() && body.received_bytes() <= REUSE_REQUEST_BYTES_MAX
+}
+
 /// Returns a connection to the pool unless it can't be reused or the target closes it.
 fn return_connection(
     shell: &EntryShell,
@@ -260,15 +309,12 @@
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
 
-fn build_request(
-    attempt: &TargetAttempt,
-    buffered: &BufferedRequest,
-) -> hyper::Request<Full<Bytes>> {
-    let mut request = hyper::Request::new(Full::new(buffered.body.clone()));
-    *request.method_mut() = buffered.method.clone();
-    *request.uri_mut() = buffered.uri.clone();
+fn build_request(attempt: &TargetAttempt, caller: &CallerRequest) -> hyper::Request<AttemptBody> {
+    let mut request = hyper::Request::new(caller.body.for_attempt());
+    *request.method_mut() = caller.method.clone();
+    *request.uri_mut() = caller.uri.clone();
     *request.headers_mut() =
-        headers::for_target(&buffered.headers, &attempt.target, attempt.time_left);
+        headers::for_target(&caller.headers, &attempt.target, attempt.time_left);
     request
 }
 
@@ -292,7 +338,12 @@
         RefusalReason::NoRoute => StatusCode::NOT_FOUND,
         RefusalReason::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         RefusalReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        // 408 would promise that the request did not run, but a target may run it before it has
+        // received the whole body.
+        RefusalReason::BodyStalled | RefusalReason::BodyIncomplete => StatusCode::BAD_REQUEST,
         RefusalReason::NoTable
+        | RefusalReason::BodyMemory
         | RefusalReason::NoCapacity
         | RefusalReason::LinkSaturated
         | RefusalReason::NoTarget
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 * `run_entry` and `run_replica` start and stop the instances.
 * [`entry_shell`] and [`replica_shell`] hold the reducers' states and perform effects.
 * [`forwarding`] serves callers' requests over the connections of [`connection_pool`], and
-  [`response_body`] reads and streams the bodies of targets' responses.
+  [`request_body`] and [`response_body`] pass on the bodies of requests and responses.
 * [`operator_api`] serves operators and lookups.
 * [`list_reader`] reads the platform's list of targets.
 * [`decision_log`] and [`fleet_metrics`] report decisions to operators.
@@ -21,6 +21,7 @@
 mod list_reader;
 mod operator_api;
 mod replica_shell;
+mod request_body;
 mod response_body;
 mod run_entry;
 mod run_replica;
--- /dev/null
+++ b/crates/node/src/fleet/request_body.rs
@@ -0,0 +1,240 @@
+/*!
+Bodies of callers' requests.
+
+A body is passed on to the target while it arrives, at the target's pace. Its beginning is kept, so
+that another target can get the request if the first one doesn't run it. Once more than that has
+been sent, no other target can get it. A body that ends early, stalls or is too large ends with an
+error, which closes the connection to the target: a truncated body never looks complete.
+*/
+
+use {
+    bytes::Bytes,
+    hemlockspool_core::traffic::request::RefusalReason,
+    http_body_util::combinators::BoxBody,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        future::{Future, poll_fn},
+        io,
+        pin::Pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::time::{Sleep, sleep, timeout},
+};
+
+/// The time for which the rest of a body is read and discarded after the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The limits on a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// The largest body, in bytes.
+    pub bytes_max: u64,
+    /// The number of bytes that are kept for another target.
+    pub kept_bytes_max: u64,
+    /// The time for which the caller may be silent.
+    pub silence_max: Duration,
+}
+
+/// The body of a request, which the attempts of the request read one after the other.
+#[derive(Clone)]
+pub(crate) struct RequestBody {
+    source: Arc<Mutex<BodySource>>,
+}
+
+impl RequestBody {
+    /// Returns the body of a request. `expects_continue` states whether the caller sends the body
+    /// only once it is asked to.
+    pub(crate) fn new(
+        incoming: BoxBody<Bytes, io::Error>,
+        limits: BodyLimits,
+        expects_continue: bool,
+    ) -> Self {
+        let source = BodySource {
+            announced_bytes: incoming.size_hint().exact(),
+            is_complete: incoming.is_end_stream(),
+            incoming,
+            limits,
+            expects_continue,
+            received_bytes: 0,
+            kept: Some(Vec::new()),
+            failure: None,
+            reader: 0,
+            silence: None,
+        };
+        Self { source: Arc::new(Mutex::new(source)) }
+    }
+
+    /// Returns the body for the next attempt. Those of earlier attempts end with an error.
+    pub(crate) fn for_attempt(&self) -> AttemptBody {
+        let mut source = self.lock();
+        source.reader += 1;
+        AttemptBody { body: self.clone(), reader: source.reader, position: 0 }
+    }
+
+    /// Returns whether the whole body has been received.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.lock().is_complete
+    }
+
+    /// Returns whether more of the body has been sent than is kept.
+    pub(crate) fn is_consumed(&self) -> bool {
+        self.lock().kept.is_none()
+    }
+
+    /// Returns the number of bytes received so far.
+    pub(crate) fn received_bytes(&self) -> u64 {
+        self.lock().received_bytes
+    }
+
+    /// Returns why the body can't be passed on whole, if it can't.
+    pub(crate) fn failure(&self) -> Option<RefusalReason> {
+        self.lock().failure
+    }
+
+    /// Reads and discards the rest of the body for a while, in its own task. If the connection were
+    /// closed while the caller still sends, the caller could lose the response.
+    pub(crate) fn discard_rest(self) {
+        let mut source = self.lock();
+        source.reader += 1;
+        source.kept = None;
+        // Reading would ask a caller that waits for the response to send the body.
+        let is_unasked = source.expects_continue && source.received_bytes == 0;
+        let is_done = source.is_complete || is_unasked;
+        drop(source);
+        if !is_done {
+            tokio::spawn(async move {
+                let discarding = poll_fn(|cx| self.lock().poll_discard(cx));
+                // After this time the connection is closed, although the caller still sends.
+                let _ = timeout(DISCARD_TIMEOUT, discarding).await;
+            });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BodySource> {
+        self.source.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A body as it arrives from the caller.
+struct BodySource {
+    incoming: BoxBody<Bytes, io::Error>,
+    limits: BodyLimits,
+    expects_continue: bool,
+    /// The length that the caller announced, in bytes.
+    announced_bytes: Option<u64>,
+    received_bytes: u64,
+    /// All pieces received so far; none once they exceed the limit of kept bytes.
+    kept: Option<Vec<Bytes>>,
+    is_complete: bool,
+    failure: Option<RefusalReason>,
+    /// The number of the attempt that reads the body.
+    reader: u32,
+    /// Runs while the caller is silent.
+    silence: Option<Pin<Box<Sleep>>>,
+}
+
+impl BodySource {
+    /// Returns the next piece, or `None` at the end of the body.
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if self.is_complete {
+            return Poll::Ready(None);
+        }
+        if self.failure.is_some() {
+            return Poll::Ready(Some(Err(io::ErrorKind::BrokenPipe.into())));
+        }
+        let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
+            let silence_max = self.limits.silence_max;
+            let silence = self.silence.get_or_insert_with(|| Box::pin(sleep(silence_max)));
+            ready!(silence.as_mut().poll(cx));
+            return self.fail(RefusalReason::BodyStalled);
+        };
+        self.silence = None;
+        match frame {
+            None => {
+                self.is_complete = true;
+                Poll::Ready(None)
+            }
+            Some(Err(_)) => self.fail(RefusalReason::BodyIncomplete),
+            Some(Ok(frame)) => {
+                // Trailers aren't passed on.
+                let piece = frame.into_data().unwrap_or_default();
+                self.received_bytes += piece.len() as u64;
+                if self.received_bytes > self.limits.bytes_max {
+                    return self.fail(RefusalReason::BodyTooLarge);
+                }
+                // The connection to the target doesn't ask for more than the announced bytes.
+                self.is_complete = self.incoming.is_end_stream()
+                    || self.announced_bytes == Some(self.received_bytes);
+                self.keep(&piece);
+                Poll::Ready(Some(Ok(piece)))
+            }
+        }
+    }
+
+    fn keep(&mut self, piece: &Bytes) {
+        if self.received_bytes > self.limits.kept_bytes_max {
+            self.kept = None;
+        }
+        if let Some(kept) = &mut self.kept {
+            kept.push(piece.clone());
+        }
+    }
+
+    fn fail(&mut self, reason: RefusalReason) -> Poll<Option<io::Result<Bytes>>> {
+        self.failure = Some(reason);
+        self.silence = None;
+        Poll::Ready(Some(Err(io::ErrorKind::InvalidData.into())))
+    }
+
+    /// Reads and discards the body until it ends.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+                Some(Ok(_)) => {}
+                None | Some(Err(_)) => return Poll::Ready(()),
+            }
+        }
+    }
+}
+
+/// The body of a request as one attempt sends it.
+pub(crate) struct AttemptBody {
+    body: RequestBody,
+    reader: u32,
+    /// The number of kept pieces that this attempt has sent.
+    position: usize,
+}
+
+impl Body for AttemptBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let request_body = self.body.clone();
+        let mut source = request_body.lock();
+        if source.reader != self.reader {
+            return Poll::Ready(Some(Err(io::ErrorKind::Interrupted.into())));
+        }
+        let kept = source.kept.as_ref().and_then(|kept| kept.get(self.position)).cloned();
+        let piece = match kept {
+            Some(piece) => Some(Ok(piece)),
+            None => ready!(source.poll_piece(cx)),
+        };
+        self.position += 1;
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let source = self.body.lock();
+        source.is_complete && source.kept.as_ref().is_none_or(|kept| self.position >= kept.len())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.lock().announced_bytes.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -20,12 +20,17 @@
         traffic::router::RouterSettings,
         wire::PeerEnvelope,
     },
+    hemlockspool_model::table::RequestLimits,
+    hemlockspool_serve::HeadLimits,
     poem::{Request, Route, endpoint, get, http::StatusCode},
     reqwest::Client,
     std::{path::PathBuf, sync::Arc, time::Duration},
     tokio::{
         signal::unix::{SignalKind, signal},
-        sync::mpsc::{UnboundedReceiver, unbounded_channel},
+        sync::{
+            mpsc::{UnboundedReceiver, unbounded_channel},
+            watch,
+        },
         time::{Instant, MissedTickBehavior, interval, sleep},
     },
 };
@@ -55,7 +60,9 @@
     let started = Instant::now();
     let log = DecisionLog::open(settings.name.as_str());
     let listen_at = settings.listen.clone();
-    let callers = listen(listen_at.callers).await?.keep_alive(CALLER_IDLE_TIMEOUT_S);
+    let (head_limits, current_head_limits) = watch::channel(HeadLimits::default());
+    let callers = listen(listen_at.callers).await?;
+    let callers = callers.keep_alive(CALLER_IDLE_TIMEOUT_S).head_limits(current_head_limits);
     let readiness = listen(listen_at.readiness).await?;
     let (sender, inbox) = unbounded_channel();
     let tunnels = settings.tunnels.clone().unwrap_or_default();
@@ -67,6 +74,7 @@
         domains: settings.domains.clone(),
         retry_limit: settings.retry_limit(),
         link_bytes_per_s: settings.link_mbps * BYTES_PER_S_IN_MBPS,
+        body_memory_bytes: settings.body_memory_bytes(),
     };
     let parts = EntryParts {
         identity,
@@ -93,7 +101,7 @@
     tokio::spawn(settings_watch::watch_seeds(path, FleetRole::Entry, hangup, on_change));
     tokio::spawn(receive_messages(Arc::clone(&shell), inbox));
     tokio::spawn(tick(Arc::clone(&shell)));
-    tokio::spawn(run_maintenance(Arc::clone(&shell)));
+    tokio::spawn(run_maintenance(Arc::clone(&shell), head_limits));
     serve_metrics(listen_at.metrics, &shell.metrics).await?;
     let ready_shell = Arc::clone(&shell);
     let ready = endpoint::make_sync(move |_: Request| {
@@ -138,16 +146,29 @@
     }
 }
 
-async fn run_maintenance(shell: Arc<EntryShell>) {
+async fn run_maintenance(shell: Arc<EntryShell>, head_limits: watch::Sender<HeadLimits>) {
     let mut ticks = interval(MAINTENANCE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
         let idle_connections = shell.pool.close_expired();
         shell.metrics.set_state("kept_connections", idle_connections as i64);
-        let (change, version) =
-            shell.with_state(|state, _| (state.change(), state.router.version()));
+        let (change, version, limits) = shell.with_state(|state, _| {
+            let router = &state.router;
+            (state.change(), router.version(), to_head_limits(router.limits()))
+        });
+        head_limits.send_replace(limits);
         shell.metrics.set_state("change", change as i64);
         shell.metrics.set_state("table_version", version.unwrap_or(0) as i64);
     }
 }
+
+/// Returns the limits on heads of a route table.
+fn to_head_limits(limits: &RequestLimits) -> HeadLimits {
+    let defaults = HeadLimits::default();
+    let bytes_max = limits.max_header_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+    HeadLimits {
+        timeout: limits.header_timeout.map_or(defaults.timeout, |timeout| timeout.0),
+        bytes_max: bytes_max.unwrap_or(defaults.bytes_max),
+    }
+}
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -21,6 +21,14 @@
     thiserror::Error,
 };
 
+/// The memory that a process may use if the settings don't say, in MB.
+const MEMORY_MB_DEFAULT: f64 = 128.0;
+/// The fraction of a process's memory for callers' bodies. The rest is for its state and for the
+/// buffers of its connections.
+const BODY_MEMORY_FRACTION: f64 = 0.125;
+/// The number of bytes in one megabyte.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// The settings of one instance.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct FleetSettings {
@@ -48,6 +56,8 @@
     pub repeats: RetrySettings,
     /// The capacity of the instance's link in each direction, in Mbit/s.
     pub link_mbps: f64,
+    /// The memory that the process may use, in MB; 128 by default.
+    pub memory_mb: Option<f64>,
     /// Addresses to connect to in place of peers' addresses, such as the local end of a tunnel.
     pub tunnels: Option<BTreeMap<SocketAddr, SocketAddr>>,
     /// The grace period within which a process must exit after it was asked to stop.
@@ -186,6 +196,12 @@
         InstancePlace { region: self.region.clone(), domain: self.failure_domain.clone() }
     }
 
+    /// Returns the memory for the parts of callers' bodies that are kept, in bytes.
+    pub(crate) fn body_memory_bytes(&self) -> u64 {
+        let memory_mb = self.memory_mb.unwrap_or(MEMORY_MB_DEFAULT);
+        (memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB) as u64
+    }
+
     /// Returns the limit of retries.
     pub(crate) fn retry_limit(&self) -> RetryLimit {
         let RetrySettings { ratio, slack, window } = self.repeats;
