A poor region's spillover falls slowly; connect timeouts beside a full link are inconclusive

Change 1: the share falls by 1% a second at most, from the first guess on, and rises fast only after a loss of targets. Change 2: a timeout while the link has a backlog of over 50 ms is inconclusive, and the connection gets the backlog as extra time.

--- a/crates/core/src/traffic/connect_meter.rs
+++ b/crates/core/src/traffic/connect_meter.rs
@@ -4,7 +4,7 @@
 A target that doesn't accept a connection in time is most likely gone. When most targets don't, the
 packets are delayed at this entry, because callers send more than its link carries. Short timeouts
 then serve nobody: callers retry and the link stays saturated, and ejecting the targets makes it
-worse.
+worse. A single large body delays the packets of a few connections in the same way.
 */
 
 use std::time::Duration;
@@ -20,6 +20,9 @@
 /// retransmits a lost packet, and about the queueing delay after one second of requests at two and
 /// a half times the link's rate.
 const CONNECT_TIMEOUT_SATURATED: Duration = Duration::from_millis(1_500);
+/// The backlog of this entry's link from which a timeout says nothing about the target: half of the
+/// shortest timeout's excess over a usual connect time.
+const BACKLOG_CONCLUSIVE_MAX: Duration = Duration::from_millis(50);
 /// The fraction of a request's remaining time that a connection may take; the rest leaves time to
 /// refuse the request as not run.
 const TIME_LEFT_FRACTION: f64 = 0.8;
@@ -85,15 +88,28 @@
     }
 
     /// Returns the connect timeout for a request with some time left, for a target of the entry's
-    /// region or of another one.
-    pub(crate) fn timeout(&self, is_local: bool, time_left: Duration) -> ConnectTimeout {
+    /// region or of another one. `backlog` is the time that the entry's link needs for the bodies
+    /// and responses that it is about to carry, which delay the connection.
+    pub(crate) fn timeout(
+        &self,
+        is_local: bool,
+        time_left: Duration,
+        backlog: Duration,
+    ) -> ConnectTimeout {
         let usual = if is_local && self.is_link_uncongested() {
             CONNECT_TIMEOUT_LOCAL
         } else {
             CONNECT_TIMEOUT
         };
         let longest = if self.is_link_saturated() { CONNECT_TIMEOUT_SATURATED } else { usual };
-        let limit = longest.min(time_left.mul_f64(TIME_LEFT_FRACTION));
-        ConnectTimeout { limit, is_conclusive: limit >= usual }
+        let delay = if is_congested(backlog) { backlog } else { Duration::ZERO };
+        let limit = (longest + delay).min(time_left.mul_f64(TIME_LEFT_FRACTION));
+        let is_conclusive = limit >= usual && delay.is_zero();
+        ConnectTimeout { limit, is_conclusive }
     }
 }
+
+/// Returns whether a backlog of this entry's link may be the cause of a connect timeout.
+pub(crate) fn is_congested(backlog: Duration) -> bool {
+    backlog > BACKLOG_CONCLUSIVE_MAX
+}
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -8,6 +8,7 @@
         fleet::{decision_events::DecisionEvent, routes::ResolvedRoute},
         traffic::{
             admission::{RETRY_AFTER_NO_CAPACITY, RETRY_AFTER_REFUSED_WITH_CAPACITY},
+            connect_meter,
             placement::{PlacementContext, PlacementError, TargetChoice, affinity_score},
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestRefusal,
@@ -180,7 +181,8 @@
             left_ms: time_left.as_millis() as u64,
             version: self.table_version.unwrap_or(0),
         });
-        request.connect_timeout = self.connect_meter.timeout(is_local, time_left);
+        let backlog = self.link_meter.backlog(now);
+        request.connect_timeout = self.connect_meter.timeout(is_local, time_left, backlog);
         let connect_timeout = request.connect_timeout.limit;
         TargetAttempt { target, address, connect_timeout, time_left, new_connection }
     }
@@ -256,7 +258,8 @@
         // A refused connection fails sooner than the timeout.
         let timed_out =
             result == AttemptResult::NotSent && elapsed >= request.connect_timeout.limit;
-        let conclusive = request.connect_timeout.is_conclusive;
+        let conclusive = request.connect_timeout.is_conclusive
+            && !connect_meter::is_congested(self.link_meter.backlog(now));
         if (timed_out && conclusive) || result.reached_target() {
             self.connect_meter.record_outcome(!timed_out);
         }
--- a/crates/core/src/traffic/spillover.rs
+++ b/crates/core/src/traffic/spillover.rs
@@ -18,14 +18,17 @@
 /// The utilization up to which a region keeps its own requests, if others have capacity for the
 /// rest.
 const LOCAL_UTILIZATION_MAX: f64 = 0.7;
-/// The maximum change of the share per second: two consecutive windows of 2 s then differ by about
+/// The maximum increase of the share per second: two consecutive windows of 2 s then differ by about
 /// 0.1, which is two thirds of the platform's limit.
 const SHARE_STEP_PER_S: f64 = 0.05;
-/// The maximum change of the share per second after a region lost or regained targets.
+/// The maximum decrease of the share per second. Demand that fell often rises again sooner than the
+/// share could follow, and objects that return to the region are cold there.
+const SHARE_DECAY_PER_S: f64 = 0.01;
+/// The maximum increase of the share per second after a region lost targets.
 const SHARE_STEP_FAST_PER_S: f64 = 0.5;
 /// The relative change of a region's slots that counts as a loss or gain of targets.
 const CAPACITY_CHANGE_FRACTION: f64 = 0.08;
-/// The time after such a change during which the share may change fast.
+/// The time after a loss during which the share may rise fast.
 const CAPACITY_CHANGE_TTL: Duration = Duration::from_secs(4);
 /// The time after the first request during which the share stays constant: demand is measured over
 /// seconds.
@@ -59,7 +62,7 @@
     slots: f64,
     /// The region's slots at the last change that counted as a loss or gain of targets.
     baseline_slots: f64,
-    /// The time until which the share may change fast.
+    /// The time until which the share may rise fast.
     fast_until: Option<Moment>,
     first_request_at: Option<Moment>,
     updated_at: Option<Moment>,
@@ -109,19 +112,20 @@
         if self.first_request_at.is_some_and(|at| now.since(at) < INITIAL_HOLD) {
             return;
         }
-        let may_change_fast = self.fast_until.is_some_and(|until| now < until);
-        let step_per_s = if may_change_fast { SHARE_STEP_FAST_PER_S } else { SHARE_STEP_PER_S };
-        let step = step_per_s * elapsed.as_secs_f64();
-        self.share = desired.clamp(self.share - step, self.share + step);
+        let may_rise_fast = self.fast_until.is_some_and(|until| now < until);
+        let step_per_s = if may_rise_fast { SHARE_STEP_FAST_PER_S } else { SHARE_STEP_PER_S };
+        let (step, decay) =
+            (step_per_s * elapsed.as_secs_f64(), SHARE_DECAY_PER_S * elapsed.as_secs_f64());
+        self.share = desired.clamp(self.share - decay, self.share + step);
     }
 
-    /// Allows fast changes of the share for a while if the region lost or gained targets.
+    /// Lets the share rise fast for a while if the region lost targets.
     fn record_slots(&mut self, local_slots: f64, now: Moment) {
         self.slots = local_slots;
         if (local_slots - self.baseline_slots).abs()
             > CAPACITY_CHANGE_FRACTION * self.baseline_slots.max(1.0)
         {
-            if self.baseline_slots > 0.0 {
+            if local_slots < self.baseline_slots {
                 self.fast_until = Some(now.after(CAPACITY_CHANGE_TTL));
             }
             self.baseline_slots = local_slots;
