Demand counts the time at the target

Cause: the time that an attempt took held the connection, the upload of the body, the wait on the entry's own link and the reading of the response.

--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -247,6 +247,9 @@
     }
 
     /// Records the result of an attempt in the state of the request, its target and its service.
+    ///
+    /// `elapsed` is the time that the target took if it answered, otherwise the time since the
+    /// attempt began.
     pub fn finish_attempt(
         &mut self,
         request: &mut AdmittedRequest,
@@ -385,8 +388,12 @@
         let AttemptResult::Answered { status, load } = result else { return };
         let Some(state) = self.targets.get(target) else { return };
         let is_queued = load.is_some_and(|load| load.waiting > 0);
-        let is_representative =
-            state.region == self.settings.region && !state.is_cold(now) && !is_queued;
+        // A response that waits behind others on this entry's link says little about the target.
+        let is_delayed = connect_meter::is_congested(self.link_meter.backlog(now));
+        let is_representative = state.region == self.settings.region
+            && !state.is_cold(now)
+            && !is_queued
+            && !is_delayed;
         if let (true, true, Some((_, stats))) =
             (status < 300, is_representative, self.route_stats.get_mut(&request.route.name))
         {
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -292,7 +292,7 @@
 
     /// Updates time-dependent state; returns the probes that are due. Draining targets aren't
     /// probed.
-    pub(crate) fn tick(&mut self, now: Moment) -> Vec<ProbeRequest> {
+    pub fn tick(&mut self, now: Moment) -> Vec<ProbeRequest> {
         self.update_rates(now);
         self.link_meter.update(now);
         self.update_spillovers(now);
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -274,6 +274,7 @@
 
 /// A request to probe a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct ProbeRequest {
+pub struct ProbeRequest {
+    /// The target.
     pub target: TargetName,
 }
--- a/crates/core/tests/spillover.rs
+++ b/crates/core/tests/spillover.rs
@@ -17,7 +17,7 @@
 where
     F: Fn(&str, f64) -> f64,
 {
-    SLOTS.iter().map(|(name, slots)| (RegionName::new(*name), value(name, *slots))).collect()
+    SLOTS.iter().map(|(name, slots)| (RegionName::new(name), value(name, *slots))).collect()
 }
 
 /// Runs the plan of the region `few` and returns, for each second, its planned share and the
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -194,3 +194,35 @@
         assert_eq!(*first.get_or_insert(attempt.target.clone()), attempt.target);
     }
 }
+
+/// Guards against demand that seems larger than it is while responses wait on the entry's link, so
+/// that requests spill over to other regions for nothing.
+#[test]
+fn upload_delays_no_demand() {
+    let mut router = router(LINK_BYTES_PER_S);
+    let mut demand = Vec::new();
+    for congested in [false, true] {
+        let started = if congested { 20_000 } else { 0 };
+        for step in 0..200 {
+            let now = at(started + step * 100);
+            let mut request = admit(&mut router, "/look/x", Some(0), now).unwrap();
+            let attempt = dispatch(&mut router, &mut request, now).unwrap();
+            let elapsed = Duration::from_millis(if congested { 450 } else { 250 });
+            if congested {
+                // An upload is on the link while the response arrives.
+                let _ = router.tick(now);
+                let upload = admit(&mut router, "/load/x", Some(60_000), now).unwrap();
+                router.release_body_memory(upload.body_memory);
+            }
+            let result = AttemptResult::Answered { status: 200, load: None };
+            router.finish_attempt(&mut request, &attempt.target, result, elapsed, now);
+            let _ = router.tick(now);
+        }
+        demand.push(router.local_demand().values().sum::<f32>());
+    }
+    let (before, after) = (demand[0], demand[1]);
+    // The uploads of the second part count as demand of their own.
+    let uploads = 10.0 * 0.32;
+    assert!((before - 2.5).abs() < 0.3, "{before} busy slots");
+    assert!(after - uploads <= 1.1 * before, "{after} busy slots, {uploads} of uploads");
+}
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -34,7 +34,7 @@
         http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header, response::Parts},
     },
     std::{io, sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout},
 };
 
 /// The largest request body, in bytes, after which a connection is reused. A target that responds
@@ -75,15 +75,18 @@
 }
 
 impl AttemptGuard<'_> {
-    fn finish(mut self, result: AttemptResult) {
-        self.report(result);
+    /// Reports the end of the attempt. `processing` is the time that the target took, if it
+    /// answered.
+    fn finish(mut self, result: AttemptResult, processing: Option<Duration>) {
+        self.report(result, processing);
     }
 
-    fn report(&mut self, result: AttemptResult) {
+    fn report(&mut self, result: AttemptResult, processing: Option<Duration>) {
         self.in_progress = false;
         let (admitted, target, started) = (&mut *self.admitted, self.target, self.started);
         self.shell.with_state(|state, now| {
-            state.router.finish_attempt(admitted, target, result, now.since(started), now)
+            let elapsed = processing.unwrap_or_else(|| now.since(started));
+            state.router.finish_attempt(admitted, target, result, elapsed, now)
         });
     }
 }
@@ -91,7 +94,7 @@
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
         if self.in_progress {
-            self.report(AttemptResult::Cancelled);
+            self.report(AttemptResult::Cancelled, None);
         }
     }
 }
@@ -203,42 +206,62 @@
     let guard =
         AttemptGuard { shell, admitted, target: &attempt.target, started, in_progress: true };
     let exchange = exchange(shell, attempt, caller, &id);
-    let (result, response) = match timeout(attempt.time_left, exchange).await {
-        // The target isn't to blame if the body broke.
-        Ok((AttemptResult::Interrupted, _)) if caller.body.failure().is_some() => {
-            (AttemptResult::BodyFailed, None)
-        }
-        Ok((result, response)) => (result, response),
-        Err(_) => (AttemptResult::TimedOut, None),
+    let mut outcome = match timeout(attempt.time_left, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) => AttemptResult::TimedOut.into(),
     };
-    guard.finish(result);
+    if outcome.result == AttemptResult::Interrupted && caller.body.failure().is_some() {
+        // The target isn't to blame.
+        outcome.result = AttemptResult::BodyFailed;
+    }
+    let AttemptOutcome { result, response, processing } = outcome;
+    guard.finish(result, processing);
     let AttemptResult::Answered { status, .. } = result else { return None };
     // A server error of the target goes to the caller only if the request can't be retried.
     let is_final = status < 500 || is_last;
     response.filter(|_| is_final)
 }
 
+/// The outcome of an attempt.
+struct AttemptOutcome {
+    result: AttemptResult,
+    /// The response that can be forwarded, if any.
+    response: Option<TargetResponse>,
+    /// The time from when the target had the whole request to the head of its response.
+    processing: Option<Duration>,
+}
+
+impl From<AttemptResult> for AttemptOutcome {
+    fn from(result: AttemptResult) -> Self {
+        Self { result, response: None, processing: None }
+    }
+}
+
 /// Sends the request of an attempt to its target and reads the response.
 async fn exchange(
     shell: &EntryShell,
     attempt: &TargetAttempt,
     caller: &CallerRequest,
     id: &str,
-) -> (AttemptResult, Option<TargetResponse>) {
+) -> AttemptOutcome {
     let request = build_request(attempt, caller);
+    let mut sent_at = Instant::now();
     let (head, mut connection) = match shell.pool.send(attempt, request).await {
         SendResult::Head(head, connection) => (head, connection),
-        SendResult::NotSent => return (AttemptResult::NotSent, None),
-        SendResult::Interrupted { reused: true } => return (AttemptResult::ConnectionClosed, None),
-        SendResult::Interrupted { reused: false } => return (AttemptResult::Interrupted, None),
+        SendResult::NotSent => return AttemptResult::NotSent.into(),
+        SendResult::Interrupted { reused: true } => return AttemptResult::ConnectionClosed.into(),
+        SendResult::Interrupted { reused: false } => return AttemptResult::Interrupted.into(),
     };
     if let Some(connect_time) = connection.take_connect_time() {
+        sent_at += connect_time;
         shell
             .with_state(|state, _| state.router.record_connect_time(&attempt.target, connect_time));
     }
+    let whole_request_at = caller.body.completed_at().map_or(sent_at, |at| at.max(sent_at));
+    let processing = whole_request_at.elapsed();
     let (parts, body) = head.into_parts();
     match headers::classify_response(parts.status, &parts.headers, id) {
-        ResponseClass::Untrusted => (AttemptResult::Interrupted, None),
+        ResponseClass::Untrusted => AttemptResult::Interrupted.into(),
         ResponseClass::NotRun { load, replaced } => {
             // The head is enough to know that the request did not run; the body only decides
             // whether the connection can be reused.
@@ -246,13 +269,17 @@
                 let reusable = !replaced && allows_reuse(&caller.body);
                 return_connection(shell, attempt, connection, &parts, reusable);
             }
-            (AttemptResult::NotRun { load, replaced }, None)
+            AttemptResult::NotRun { load, replaced }.into()
         }
         ResponseClass::FromTarget { load, .. } => {
             let result = AttemptResult::Answered { status: parts.status.as_u16(), load };
             match read_response(shell, attempt, parts, body, connection, &caller.body).await {
-                Some(response) => (result, Some(response)),
-                None => (AttemptResult::Interrupted, None),
+                Some(response) => AttemptOutcome {
+                    result,
+                    response: Some(response),
+                    processing: Some(processing),
+                },
+                None => AttemptResult::Interrupted.into(),
             }
         }
     }
--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -20,7 +20,7 @@
         task::{Context, Poll, ready},
         time::Duration,
     },
-    tokio::time::{Sleep, sleep, timeout},
+    tokio::time::{Instant, Sleep, sleep, timeout},
 };
 
 /// The time for which the rest of a body is read and discarded after the response.
@@ -54,6 +54,7 @@
         let source = BodySource {
             announced_bytes: incoming.size_hint().exact(),
             is_complete: incoming.is_end_stream(),
+            completed_at: None,
             incoming,
             limits,
             expects_continue,
@@ -83,6 +84,11 @@
         self.lock().kept.is_none()
     }
 
+    /// Returns when the last byte was received; none before that and for an empty body.
+    pub(crate) fn completed_at(&self) -> Option<Instant> {
+        self.lock().completed_at
+    }
+
     /// Returns the number of bytes received so far.
     pub(crate) fn received_bytes(&self) -> u64 {
         self.lock().received_bytes
@@ -128,6 +134,7 @@
     /// All pieces received so far; none once they exceed the limit of kept bytes.
     kept: Option<Vec<Bytes>>,
     is_complete: bool,
+    completed_at: Option<Instant>,
     failure: Option<RefusalReason>,
     /// The number of the attempt that reads the body.
     reader: u32,
@@ -153,7 +160,7 @@
         self.silence = None;
         match frame {
             None => {
-                self.is_complete = true;
+                self.complete();
                 Poll::Ready(None)
             }
             Some(Err(_)) => self.fail(RefusalReason::BodyIncomplete),
@@ -165,14 +172,22 @@
                     return self.fail(RefusalReason::BodyTooLarge);
                 }
                 // The connection to the target doesn't ask for more than the announced bytes.
-                self.is_complete = self.incoming.is_end_stream()
-                    || self.announced_bytes == Some(self.received_bytes);
+                if self.incoming.is_end_stream()
+                    || self.announced_bytes == Some(self.received_bytes)
+                {
+                    self.complete();
+                }
                 self.keep(&piece);
                 Poll::Ready(Some(Ok(piece)))
             }
         }
     }
 
+    fn complete(&mut self) {
+        self.is_complete = true;
+        self.completed_at = Some(Instant::now());
+    }
+
     fn keep(&mut self, piece: &Bytes) {
         if self.received_bytes > self.limits.kept_bytes_max {
             self.kept = None;
