--- a/crates/core/tests/load_patterns.rs
+++ b/crates/core/tests/load_patterns.rs
@@ -1,28 +1,25 @@
 //! Load patterns of busy days: spillover to other regions, refusals, targets that shed load or
 //! fail, and a saturated link.
 
+#[path = "common/routing.rs"]
+mod routing;
+
 use {
     hemlockspool_core::{
         clock::Moment,
-        fleet::{
-            messages::{LoadSample, target_hash},
-            roster::{TargetInfo, TargetList},
-        },
+        fleet::messages::{LoadSample, target_hash},
         traffic::{
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestHead,
                 TargetLoad,
             },
-            retry_budget::RetryLimit,
-            router::{RequestRouter, RouterSettings},
+            router::RequestRouter,
             spillover::SpilloverPlan,
         },
     },
-    hemlockspool_model::{
-        names::{RegionName, TargetName},
-        table::RouteTable,
-    },
+    hemlockspool_model::names::{RegionName, TargetName},
     rand::{Rng, SeedableRng},
+    routing::{at, router_with},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -42,35 +39,9 @@
      "priority":0,"service":"s","attempts":2,"sticky":true}],
     "services":[{"name":"s"}],"limits":{}}"#;
 
-/// Returns the moment `millis` milliseconds after the start of a test.
-fn at(millis: u64) -> Moment {
-    Moment(60_000_000 + millis * 1_000)
-}
-
 /// Returns the router of an entry with eight targets of four slots each.
 fn router(link_bytes_per_s: f64) -> RequestRouter {
-    let settings = RouterSettings {
-        me: "10.0.0.1:1".parse().unwrap(),
-        region: "r".into(),
-        domains: BTreeMap::from([("d".into(), "r".into())]),
-        retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
-        link_bytes_per_s,
-        body_memory_bytes: 16 << 20,
-    };
-    let mut router = RequestRouter::new(settings, at(0));
-    router.set_table(&RouteTable::parse(TABLE).unwrap());
-    let target_info = |last_octet: u8| TargetInfo {
-        service: "s".into(),
-        address: ([10, 0, 1, last_octet], 80).into(),
-        domain: "d".into(),
-        slots: 4,
-        draining: false,
-        cold_ms: 0,
-    };
-    let list: TargetList =
-        (0..8).map(|i| (TargetName::new(&format!("t{i}")), target_info(i))).collect();
-    router.set_targets(&list, at(0));
-    router
+    router_with(TABLE, 4, link_bytes_per_s)
 }
 
 /// Admits a request with an affinity key, or returns the reason of the refusal.
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -1,22 +1,23 @@
 //! Load patterns of uploads at an entry with a small link: large bodies in both directions, beside
 //! small requests.
 
+#[path = "common/routing.rs"]
+mod routing;
+
 use {
     hemlockspool_core::{
         clock::Moment,
-        fleet::roster::{TargetInfo, TargetList},
         traffic::{
             body_budget::KEPT_BODY_BYTES_MAX,
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestHead,
                 TargetAttempt, TransferredBytes,
             },
-            retry_budget::RetryLimit,
-            router::{RequestRouter, RouterSettings},
+            router::RequestRouter,
         },
     },
-    hemlockspool_model::{names::TargetName, table::RouteTable},
-    std::{collections::BTreeMap, time::Duration},
+    routing::{BODY_MEMORY_BYTES, at, router_with},
+    std::time::Duration,
 };
 
 const TABLE: &str = r#"{"version":3,"routes":[
@@ -27,40 +28,12 @@
     {"name":"load","host":"h","prefix":"/load/","repeat":"upload","timeout":"5s","goal":"800ms",
      "priority":1,"service":"s","attempts":2,"sticky":true}],
     "services":[{"name":"s"}],"limits":{"max_body_bytes":1000000}}"#;
-/// Memory for bodies, in bytes.
-const BODY_MEMORY_BYTES: u64 = 4 << 20;
 /// A link of 7.2 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 900_000.0;
 
-/// Returns the moment `millis` milliseconds after the start of a test.
-fn at(millis: u64) -> Moment {
-    Moment(60_000_000 + millis * 1_000)
-}
-
 /// Returns the router of an entry with eight targets of six slots each.
 fn router(link_bytes_per_s: f64) -> RequestRouter {
-    let settings = RouterSettings {
-        me: "10.0.0.1:1".parse().unwrap(),
-        region: "r".into(),
-        domains: BTreeMap::from([("d".into(), "r".into())]),
-        retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
-        link_bytes_per_s,
-        body_memory_bytes: BODY_MEMORY_BYTES,
-    };
-    let mut router = RequestRouter::new(settings, at(0));
-    router.set_table(&RouteTable::parse(TABLE).unwrap());
-    let target_info = |last_octet: u8| TargetInfo {
-        service: "s".into(),
-        address: ([10, 0, 1, last_octet], 80).into(),
-        domain: "d".into(),
-        slots: 6,
-        draining: false,
-        cold_ms: 0,
-    };
-    let list: TargetList =
-        (0..8).map(|i| (TargetName::new(&format!("t{i}")), target_info(i))).collect();
-    router.set_targets(&list, at(0));
-    router
+    router_with(TABLE, 6, link_bytes_per_s)
 }
 
 fn admit(
