An early response that streams isn't cut off with its request's body

A target that responds before it has read the body, with more than 1 MiB, lost its connection when the entry took the rest of the body over to discard it; and at the end of the response the caller's connection was reset while it still sent. Change: the body stays with the target until a streamed response ends, and is discarded then.

--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -22,7 +22,6 @@
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestHead,
                 RequestRefusal, TargetAttempt, TransferredBytes,
             },
-            router::RequestRouter,
         },
     },
     hemlockspool_model::names::TargetName,
@@ -105,6 +104,8 @@
     body: Body,
     /// The length of the buffered part of the body, in bytes.
     buffered_bytes: u64,
+    /// Whether the rest of the body is still to come.
+    is_streamed: bool,
 }
 
 /// Serves a caller's request.
@@ -143,7 +144,7 @@
         })
     };
     let body = RequestBody::new(incoming, limits, expects_continue);
-    let response = match admitted {
+    let result = match admitted {
         Ok(admitted) => {
             let uri = request.uri().path_and_query().map(|path| Uri::from(path.clone()));
             let caller = CallerRequest {
@@ -154,25 +155,39 @@
             };
             forward_admitted(shell, admitted, &caller).await
         }
-        Err(refusal) => refusal_response(refusal),
+        Err(refusal) => Err(refusal),
     };
-    body.discard_rest();
-    response
+    match result {
+        // The target may read the body until the end of its response.
+        Ok(response) if response.is_streamed => caller_response(response),
+        Ok(response) => {
+            body.discard_rest();
+            caller_response(response)
+        }
+        Err(refusal) => {
+            body.discard_rest();
+            refusal_response(refusal)
+        }
+    }
 }
 
-/// Makes attempts until one has a response for the caller or the request is refused.
+/// Makes attempts until one has a response for the caller.
+///
+/// # Errors
+///
+/// The refusal, if the request ends without a response from a target.
 async fn forward_admitted(
     shell: &EntryShell,
     mut admitted: AdmittedRequest,
     caller: &CallerRequest,
-) -> Response {
+) -> Result<TargetResponse, RequestRefusal> {
     let _memory = BodyMemory { shell, bytes: admitted.body_memory };
     loop {
         admitted.body_consumed = caller.body.is_consumed();
         let attempt = match shell.with_state(|state, now| state.router.dispatch(&mut admitted, now))
         {
             DispatchDecision::Send(attempt) => attempt,
-            DispatchDecision::Refuse(refusal) => return refusal_response(refusal),
+            DispatchDecision::Refuse(refusal) => return Err(refusal),
         };
         if let Some(response) = make_attempt(shell, &mut admitted, &attempt, caller).await {
             let status = response.parts.status.as_u16();
@@ -183,12 +198,12 @@
             shell.with_state(|state, now| {
                 state.router.finish_request(&admitted, &attempt.target, status, bytes, now);
             });
-            return caller_response(response);
+            return Ok(response);
         }
         if let Some(reason) = caller.body.failure() {
-            let refuse =
-                |router: &mut RequestRouter, now| router.refuse_body(&admitted, reason, now);
-            return refusal_response(shell.with_state(|state, now| refuse(&mut state.router, now)));
+            return Err(
+                shell.with_state(|state, now| state.router.refuse_body(&admitted, reason, now))
+            );
         }
     }
 }
@@ -210,7 +225,9 @@
         Ok(outcome) => outcome,
         Err(_) => AttemptResult::TimedOut.into(),
     };
-    if outcome.result == AttemptResult::Interrupted && caller.body.failure().is_some() {
+    let is_broken =
+        matches!(outcome.result, AttemptResult::Interrupted | AttemptResult::ConnectionClosed);
+    if is_broken && caller.body.failure().is_some() {
         // The target isn't to blame.
         outcome.result = AttemptResult::BodyFailed;
     }
@@ -218,7 +235,7 @@
     guard.finish(result, processing);
     let AttemptResult::Answered { status, .. } = result else { return None };
     // A server error of the target goes to the caller only if the request can't be retried.
-    let is_final = status < 500 || is_last;
+    let is_final = status < 500 || is_last || caller.body.is_consumed();
     response.filter(|_| is_final)
 }
 
@@ -297,12 +314,13 @@
         ResponseBody::Complete(bytes) => {
             return_connection(shell, attempt, connection, &parts, allows_reuse(request_body));
             let buffered_bytes = bytes.len() as u64;
-            Some(TargetResponse { parts, body: Body::from(bytes), buffered_bytes })
+            let body = Body::from(bytes);
+            Some(TargetResponse { parts, body, buffered_bytes, is_streamed: false })
         }
         ResponseBody::Partial(beginning, rest) => {
             let buffered_bytes = beginning.len() as u64;
-            let body = stream_body(beginning, rest, connection);
-            Some(TargetResponse { parts, body, buffered_bytes })
+            let body = stream_body(beginning, rest, connection, request_body);
+            Some(TargetResponse { parts, body, buffered_bytes, is_streamed: true })
         }
     }
 }
--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -123,6 +123,24 @@
     }
 }
 
+/// Discards the rest of a body when it is dropped.
+pub(crate) struct DiscardGuard {
+    body: RequestBody,
+}
+
+impl DiscardGuard {
+    /// Returns the guard of a body.
+    pub(crate) fn new(body: RequestBody) -> Self {
+        Self { body }
+    }
+}
+
+impl Drop for DiscardGuard {
+    fn drop(&mut self) {
+        self.body.clone().discard_rest();
+    }
+}
+
 /// A body as it arrives from the caller.
 struct BodySource {
     incoming: BoxBody<Bytes, io::Error>,
--- a/crates/node/src/fleet/response_body.rs
+++ b/crates/node/src/fleet/response_body.rs
@@ -7,7 +7,10 @@
 */
 
 use {
-    super::connection_pool::TargetConnection,
+    super::{
+        connection_pool::TargetConnection,
+        request_body::{DiscardGuard, RequestBody},
+    },
     bytes::{Bytes, BytesMut},
     futures_util::{StreamExt, stream},
     http_body_util::BodyExt,
@@ -46,19 +49,35 @@
     Ok(ResponseBody::Complete(buffered.freeze()))
 }
 
+/// What must live until a streamed body ends: the connection to the target, which may still read the
+/// request's body.
+struct StreamResources {
+    _connection: TargetConnection,
+    _request_body: DiscardGuard,
+}
+
 /// Returns a body that streams the beginning and the rest of a target's body, and keeps the
 /// connection open until the end.
-pub(crate) fn stream_body(beginning: Bytes, rest: Incoming, connection: TargetConnection) -> Body {
+pub(crate) fn stream_body(
+    beginning: Bytes,
+    rest: Incoming,
+    connection: TargetConnection,
+    request_body: &RequestBody,
+) -> Body {
     let first = stream::once(async move { Ok::<Bytes, io::Error>(beginning) });
-    let rest = stream::unfold((rest, connection), |(mut body, connection)| async move {
+    let resources = StreamResources {
+        _connection: connection,
+        _request_body: DiscardGuard::new(request_body.clone()),
+    };
+    let rest = stream::unfold((rest, resources), |(mut body, resources)| async move {
         loop {
             match body.frame().await? {
                 Ok(frame) => {
                     if let Ok(data) = frame.into_data() {
-                        return Some((Ok(data), (body, connection)));
+                        return Some((Ok(data), (body, resources)));
                     }
                 }
-                Err(error) => return Some((Err(io::Error::other(error)), (body, connection))),
+                Err(error) => return Some((Err(io::Error::other(error)), (body, resources))),
             }
         }
     });
