The body of a target's refusal is awaited for 30 ms, not for ever

Cause: found by reading. The head of a refusal tells that the request did not run; its body was read so that the connection can be reused, with the attempt's timeout as the only bound. A target whose body never ended held the request until its deadline, and the caller got 504 for what had not run. Bodies and heads without end elsewhere (probes, the list, peers) were not looked at.

--- a/crates/model/tests/tables.rs
+++ b/crates/model/tests/tables.rs
@@ -40,7 +40,23 @@
 #[test]
 fn table_unknown_repeat() {
     let text = VALID_TABLE.replace(r#""repeat":"safe""#, r#""repeat":"sometimes""#);
-    assert!(matches!(RouteTable::parse(&text), Err(TableError::Malformed { .. })));
+    let Err(TableError::Malformed { reason }) = RouteTable::parse(&text) else {
+        panic!("accepted");
+    };
+    for name in ["safe", "never", "upload"] {
+        assert!(reason.contains(&format!("`{name}`")), "{reason}");
+    }
+}
+
+#[test]
+fn table_repeat_kinds() {
+    for (name, at_most_once) in [("safe", false), ("never", true), ("upload", true)] {
+        let text = VALID_TABLE.replace(r#""repeat":"safe""#, &format!(r#""repeat":"{name}""#));
+        let table = RouteTable::parse(&text).unwrap();
+        assert_eq!(table.routes[1].repeat.is_at_most_once(), at_most_once);
+        let read_back = serde_json::to_string(&table).unwrap();
+        assert_eq!(RouteTable::parse(&read_back).unwrap(), table);
+    }
 }
 
 #[test]
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -40,6 +40,10 @@
 /// before it has read a larger body may leave the rest of it unread on the connection.
 const REUSE_REQUEST_BYTES_MAX: u64 = 16 << 10;
 
+/// The time within which the body of a target's refusal must be complete for its connection to be
+/// reused: it usually comes with the head, and the request waits for another target meanwhile.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// The approximate number of bytes that the heads of a request and of its response take on a link,
 /// together with the packet headers.
 const HEADER_OVERHEAD_BYTES: u64 = 900;
@@ -282,7 +286,8 @@
         ResponseClass::NotRun { load, replaced } => {
             // The head is enough to know that the request did not run; the body only decides
             // whether the connection can be reused.
-            if let Ok(ResponseBody::Complete(_)) = read_body(body).await {
+            let reading = timeout(REFUSAL_BODY_TIMEOUT, read_body(body)).await;
+            if let Ok(Ok(ResponseBody::Complete(_))) = reading {
                 let reusable = !replaced && allows_reuse(&caller.body);
                 return_connection(shell, attempt, connection, &parts, reusable);
             }
