--- a/crates/core/src/traffic/connect_meter.rs
+++ b/crates/core/src/traffic/connect_meter.rs
@@ -20,8 +20,8 @@
 /// retransmits a lost packet, and about the queueing delay after one second of requests at two and
 /// a half times the link's rate.
 const CONNECT_TIMEOUT_SATURATED: Duration = Duration::from_millis(1_500);
-/// The backlog of this entry's link from which a timeout says nothing about the target: half of the
-/// shortest timeout's excess over a usual connect time.
+/// The longest backlog of this entry's link beside which a timeout still says something about the
+/// target: it delays a connection by a third of the shortest timeout.
 const BACKLOG_CONCLUSIVE_MAX: Duration = Duration::from_millis(50);
 /// The fraction of a request's remaining time that a connection may take; the rest leaves time to
 /// refuse the request as not run.
