at_most_once tests: each resend has an id of its own

Change: each try has its own id. The check is as strict: each refused try must not have run. Also: the module page of the spillover says that the share falls more slowly than it rises.

--- a/crates/core/src/traffic/spillover.rs
+++ b/crates/core/src/traffic/spillover.rs
@@ -3,8 +3,8 @@
 
 Demand and capacity differ from region to region. A region whose demand exceeds its utilization
 limit sends the excess to regions with spare capacity, in proportion to that capacity. The share
-changes at a limited rate, since the platform limits how many requests may change their region from
-one time window to the next. A hash of the object selects the requests that spill over, so that the
+rises at a limited rate, since the platform limits how many requests may change their region from
+one time window to the next, and falls more slowly. A hash of the object selects the requests that spill over, so that the
 requests for an object stay together, and a running deficit keeps the actual share at the planned
 one.
 */
--- a/crates/testkit/tests/at_most_once.rs
+++ b/crates/testkit/tests/at_most_once.rs
@@ -210,7 +210,8 @@
     }
     let records: Mutex<Vec<SendRecord>> = Mutex::new(vec![first]);
     wait_until("the key can be used again", || async {
-        let record = send(&cluster, 3, "k", "k/1").await;
+        let send_id = format!("k/{}", records.lock().unwrap().len());
+        let record = send(&cluster, 3, "k", &send_id).await;
         let ran = record.outcome.as_deref() == Some("ran");
         records.lock().unwrap().push(record);
         ran
@@ -243,7 +244,8 @@
     // The key can be used again, since the outcome was not-run.
     let records: Arc<Mutex<Vec<SendRecord>>> = Arc::default();
     wait_until("the resend runs", || async {
-        let record = send(&cluster, 3, "k", "k/1").await;
+        let send_id = format!("k/{}", records.lock().unwrap().len() + 1);
+        let record = send(&cluster, 3, "k", &send_id).await;
         let ran = record.outcome.as_deref() == Some("ran");
         records.lock().unwrap().push(record);
         ran
