A body that grew too large is logged as failed, not as refused

Cause: found when reading the diff. A chunked body over the limit ends the request after a part of it was sent, and a target may run a request before it has the whole body; E261 said that it did not run. Change: E262 for it, as for the other reasons of bodies. An announced body over the limit is refused on its head as before (E261), and the status is 413 in both cases.

--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -145,12 +145,16 @@
         }
     }
 
-    /// Returns whether the request certainly has not run and will not. A target may run a request
-    /// before it has received the whole body.
+    /// Returns whether the request certainly has not run and will not. It is unknown for a request
+    /// that ends because of its body: a target may run it before it has received the whole body.
     pub fn is_known_not_run(self) -> bool {
         !matches!(
             self,
-            Self::OutcomeUnknown | Self::TimedOut | Self::BodyStalled | Self::BodyIncomplete
+            Self::OutcomeUnknown
+                | Self::TimedOut
+                | Self::BodyTooLarge
+                | Self::BodyStalled
+                | Self::BodyIncomplete
         )
     }
 }
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -161,7 +161,8 @@
         let attempt = dispatch(&mut router, &mut request, at(step)).unwrap();
         let result = AttemptResult::BodyFailed;
         router.finish_attempt(&mut request, &attempt.target, result, Duration::ZERO, at(step));
-        let refusal = router.refuse_body(&request, RefusalReason::BodyStalled, at(step));
+        let reasons = [RefusalReason::BodyStalled, RefusalReason::BodyTooLarge];
+        let refusal = router.refuse_body(&request, reasons[step as usize % 2], at(step));
         assert!(!refusal.reason.is_known_not_run() && refusal.retry_after.is_none());
         router.release_body_memory(request.body_memory);
         assert_eq!(*first.get_or_insert(attempt.target.clone()), attempt.target);
