Entries log the limit that a target states (E252 to E254)

Change: platform/ decodes the header, in both forms of its name, into TargetNotice; an entry logs the limit, its end, and once a target what can't be used. Nothing is decided by it yet. Tests: target_notice_rate_limit, target_notice_malformed.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -108,6 +108,23 @@
         /// The remaining warm-up time, in milliseconds; 0 when warm.
         cold_ms: u64,
     },
+    /// A target stated a limit on its requests, or another one than before, with a response.
+    LimitStated {
+        /// The name of the target.
+        target: TargetName,
+        /// The number of requests per second that it takes from all entries together.
+        per_s: f64,
+    },
+    /// A target that had stated a limit on its requests states none any more.
+    LimitEnded {
+        /// The name of the target.
+        target: TargetName,
+    },
+    /// A target stated something about itself that can't be used; logged once for each target.
+    NoticeMalformed {
+        /// The name of the target.
+        target: TargetName,
+    },
     /// A target was chosen for an attempt, which is about to be sent.
     RequestSent {
         /// The identifier of the request.
@@ -213,6 +230,9 @@
         (240, LogLevel::Info, "an operator's command completed"),
         (250, LogLevel::Warn, "a target was ejected after failures"),
         (251, LogLevel::Info, "the ejection of a target ended"),
+        (252, LogLevel::Warn, "a target stated a limit on its requests"),
+        (253, LogLevel::Info, "a target's limit on its requests ended"),
+        (254, LogLevel::Warn, "a target stated something about itself that can't be used"),
         (260, LogLevel::Info, "a request was sent to a target"),
         (261, LogLevel::Info, "a request was refused without having run"),
         (262, LogLevel::Warn, "a request failed, or its outcome is unknown"),
@@ -240,6 +260,9 @@
             Self::OrderEnded { .. } => 240,
             Self::TargetOut { .. } => 250,
             Self::TargetBack { .. } => 251,
+            Self::LimitStated { .. } => 252,
+            Self::LimitEnded { .. } => 253,
+            Self::NoticeMalformed { .. } => 254,
             Self::RequestSent { .. } => 260,
             Self::RequestRefused { .. } => 261,
             Self::RequestFailed { .. } => 262,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -15,6 +15,7 @@
                 TargetAttempt, TargetLoad, TransferredBytes,
             },
             router::RequestRouter,
+            target_notice::{StatedLimit, TargetNotice},
             target_state::TargetHealth,
         },
         util::stable_hash,
@@ -246,6 +247,26 @@
         }
     }
 
+    /// Records what a target said of itself with a response of its own.
+    pub fn record_notice(&mut self, target: &TargetName, notice: TargetNotice, now: Moment) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        if notice.is_malformed && !state.malformed_logged {
+            state.malformed_logged = true;
+            self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
+        }
+        let old = state.stated_limit.and_then(|stated| stated.per_s);
+        state.stated_limit = Some(StatedLimit { per_s: notice.rate_limit, heard_at: now });
+        match notice.rate_limit {
+            Some(per_s) if old != Some(per_s) => {
+                self.log_events.push(DecisionEvent::LimitStated { target: target.clone(), per_s });
+            }
+            None if old.is_some() => {
+                self.log_events.push(DecisionEvent::LimitEnded { target: target.clone() });
+            }
+            _ => {}
+        }
+    }
+
     /// Records the result of an attempt in the state of the request, its target and its service.
     ///
     /// `elapsed` is the time that the target took if it answered, otherwise the time since the
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,7 +2,8 @@
 Routing of requests at an entry: decides which target runs each request and which requests are
 refused.
 
-* [`request`] is the state of a request; [`target_state`] is that of a target as the entry sees it.
+* [`request`] is the state of a request; [`target_state`] is that of a target as the entry sees it,
+  and [`target_notice`] what a target says of itself.
 * [`router`] holds the state that decisions are based on; `admission` admits requests, `dispatch`
   starts attempts and records their results, and [`placement`] chooses a target.
 * `route_stats` measures the processing time of routes. `link_meter` and `connect_meter` measure how
@@ -30,4 +31,5 @@
 mod route_stats;
 pub mod router;
 pub mod spillover;
-pub mod target_state;
+pub mod target_notice;
+mod target_state;
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -10,7 +10,7 @@
     crate::{
         clock::Moment,
         fleet::roster::TargetInfo,
-        traffic::{cold_limiter::ColdLimiter, request::TargetLoad},
+        traffic::{cold_limiter::ColdLimiter, request::TargetLoad, target_notice::StatedLimit},
     },
     hemlockspool_model::names::{RegionName, TargetName},
     std::time::Duration,
@@ -75,6 +75,10 @@
     failure_rate_at: Moment,
     pub cold_until: Option<Moment>,
     pub cold_limiter: ColdLimiter,
+    /// What the target last stated to this entry about its rate limit.
+    pub stated_limit: Option<StatedLimit>,
+    /// Whether the target's malformed statements have been logged.
+    pub malformed_logged: bool,
     /// The last time a connection to the target timed out while this entry's link was uncongested,
     /// or another instance was found at the target's address.
     pub unreachable_at: Option<Moment>,
@@ -99,6 +103,8 @@
             failure_rate_at: now,
             cold_until: cold,
             cold_limiter: ColdLimiter::default(),
+            stated_limit: None,
+            malformed_logged: false,
             unreachable_at: None,
             last_reached_at: None,
         }
@@ -112,6 +118,7 @@
         if info.address != self.info.address {
             self.health = TargetHealth::Healthy;
             self.consecutive_failures = 0;
+            self.stated_limit = None;
         }
         // A target that drains never accepts new requests again under the same name.
         let draining = self.info.draining || info.draining;
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -281,7 +281,12 @@
     let whole_request_at = caller.body.completed_at().map_or(sent_at, |at| at.max(sent_at));
     let processing = whole_request_at.elapsed();
     let (parts, body) = head.into_parts();
-    match headers::classify_response(parts.status, &parts.headers, id) {
+    let class = headers::classify_response(parts.status, &parts.headers, id);
+    if class.is_from_target() {
+        let notice = headers::target_notice(&parts.headers);
+        shell.with_state(|state, now| state.router.record_notice(&attempt.target, notice, now));
+    }
+    match class {
         ResponseClass::Untrusted => AttemptResult::Interrupted.into(),
         ResponseClass::NotRun { load, replaced } => {
             // The head is enough to know that the request did not run; the body only decides
