--- a/crates/core/tests/common/routing.rs
+++ b/crates/core/tests/common/routing.rs
@@ -1,5 +1,7 @@
 //! A router of one entry with the targets of one region, for tests of load patterns.
 
+#![allow(dead_code)]
+
 use {
     hemlockspool_core::{
         clock::Moment,
@@ -10,7 +12,7 @@
         },
     },
     hemlockspool_model::{names::TargetName, table::RouteTable},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// Memory for bodies, in bytes.
@@ -23,8 +25,14 @@
 
 /// Returns the router of an entry with a table and eight targets of the service `s`.
 pub fn router_with(table: &str, slots: u32, link_bytes_per_s: f64) -> RequestRouter {
+    router_of("10.0.0.1:1".parse().unwrap(), table, slots, link_bytes_per_s)
+}
+
+/// Returns the router of the entry at a peer address, with a table and eight targets of the service
+/// `s`.
+pub fn router_of(me: SocketAddr, table: &str, slots: u32, link_bytes_per_s: f64) -> RequestRouter {
     let settings = RouterSettings {
-        me: "10.0.0.1:1".parse().unwrap(),
+        me,
         region: "r".into(),
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
