Entries keep the rate limit that a target states, without a central count

Cause: no entry read what a target says of itself. The limit is one of all entries together, and each hears of it in its own responses only. Class: a limit shared by parties that don't see each other's use of it. Entries report statements with their heartbeats, and replicas pass on the limits that hold, so that those who send nothing hear of the end. Probes take permits. New fields stand at the end of messages and are read as empty when missing, so old and new instances understand each other (heartbeat_of_other_version_is_read).

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -108,12 +108,14 @@
         /// The remaining warm-up time, in milliseconds; 0 when warm.
         cold_ms: u64,
     },
-    /// A target stated a limit on its requests, or another one than before, with a response.
+    /// A target stated a limit on its requests, or another one than before.
     LimitStated {
         /// The name of the target.
         target: TargetName,
         /// The number of requests per second that it takes from all entries together.
         per_s: f64,
+        /// Who told this entry: the target's own `response`, or a `replica`.
+        source: &'static str,
     },
     /// A target that had stated a limit on its requests states none any more.
     LimitEnded {
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -336,6 +336,8 @@
             loads: self.router.recent_loads(interval, now),
             outages: self.router.recent_outages(now),
             sent_at: now,
+            rate_limits: self.router.recent_rate_limits(now),
+            rate_limits_mark: self.router.rate_limits_mark(),
         };
         send_message(peer, FleetMessage::EntryPulse(heartbeat))
     }
@@ -436,6 +438,9 @@
         self.router.set_demand(reply.demand);
         self.router.apply_load_samples(&reply.busy, now);
         self.router.apply_outages(&reply.outages, now);
+        if let Some(limits) = reply.rate_limits {
+            self.router.apply_rate_limits(limits, now);
+        }
         effects
     }
 
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -85,6 +85,33 @@
     pub outages: Vec<OutageReport>,
     /// The sender's clock at the time of sending; returned in the reply.
     pub sent_at: Moment,
+    /// What targets lately stated to the entry about their rate limits. Instances before this field
+    /// was added send neither this one nor the next; see [`PeerEnvelope`](crate::wire::PeerEnvelope).
+    pub rate_limits: Vec<RateLimitReport>,
+    /// The mark of the limits that it knows ([`RateLimitView::mark`]).
+    pub rate_limits_mark: u64,
+}
+
+/// What a target stated to an entry about its rate limit.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RateLimitReport {
+    /// The hash of the target's name; see [`target_hash`].
+    pub target: u32,
+    /// The number of requests per second that it takes from all entries together; none if it stated
+    /// no limit any more.
+    pub per_s: Option<f32>,
+    /// The age of the statement, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// The rate limits that a replica knows of.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RateLimitView {
+    /// Identifies the limits.
+    pub mark: u64,
+    /// The limit of each target that has one, in requests per second of all entries together; none
+    /// if the receiver knows them.
+    pub limits: Option<BTreeMap<u32, f32>>,
 }
 
 /// A load that a target reported.
@@ -135,6 +162,8 @@
     pub busy: Vec<LoadSample>,
     /// The targets that several failure domains of the entry's region recently failed to reach.
     pub outages: Vec<OutageReport>,
+    /// The rate limits of targets; none while the replica may not know all of them.
+    pub rate_limits: Option<RateLimitView>,
 }
 
 /// The ready entries, as known to a replica.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -11,8 +11,8 @@
 * [`roster`] is the versioned list of targets; `list_schedule` determines when a process reads the
   platform's list.
 * [`routes`] finds the route of a request; [`compressed_table`] compresses route tables for entries.
-* `loads` collects the loads that targets report; [`outages`] collects reports of unreachable
-  targets.
+* `loads` collects the loads that targets report, [`rate_limits`] the limits that they state, and
+  [`outages`] reports of unreachable targets.
 * [`messages`] defines the messages between instances; [`decision_events`] defines what they log.
 */
 
@@ -25,6 +25,7 @@
 pub(crate) mod membership;
 pub mod messages;
 pub mod outages;
+pub mod rate_limits;
 pub mod replica;
 pub mod roster;
 pub mod routes;
--- a/crates/core/src/fleet/replica/follower_view.rs
+++ b/crates/core/src/fleet/replica/follower_view.rs
@@ -9,7 +9,7 @@
     super::ReplicaState,
     crate::{
         clock::Moment,
-        fleet::messages::{LiveEntries, LoadSample, OutageReport},
+        fleet::messages::{LiveEntries, LoadSample, OutageReport, RateLimitView},
     },
     hemlockspool_model::names::{RegionName, ServiceName},
     std::{collections::BTreeMap, time::Duration},
@@ -24,6 +24,8 @@
     at: Moment,
     pub live_entries: LiveEntries,
     pub demand: BTreeMap<RegionName, BTreeMap<ServiceName, f32>>,
+    /// The rate limits of targets; none while this replica may not know all of them.
+    pub rate_limits: Option<RateLimitView>,
     regions: BTreeMap<RegionName, RegionView>,
 }
 
@@ -69,6 +71,7 @@
             at: now,
             live_entries: self.entries.live_entries(),
             demand: self.entries.demand(),
+            rate_limits: self.rate_limits.limits(now),
             regions: BTreeMap::new(),
         });
         view.regions.entry(region.clone()).or_insert_with(|| RegionView {
--- a/crates/core/src/fleet/replica/followers.rs
+++ b/crates/core/src/fleet/replica/followers.rs
@@ -10,7 +10,9 @@
         effect::NodeEffect,
         fleet::{
             decision_events::DecisionEvent,
-            messages::{EntryHeartbeat, FleetMessage, HeartbeatReply, PublishedState},
+            messages::{
+                EntryHeartbeat, FleetMessage, HeartbeatReply, PublishedState, RateLimitView,
+            },
             replica::send_message,
         },
     },
@@ -27,8 +29,10 @@
     ) -> Vec<NodeEffect> {
         let (follows, echo, known_entries) =
             (heartbeat.follows, heartbeat.sent_at, heartbeat.census);
+        let known_limits = heartbeat.rate_limits_mark;
         self.loads.record(&heartbeat.loads, now);
         self.outages.record(&heartbeat.place, &heartbeat.outages, now);
+        self.rate_limits.record(&heartbeat.rate_limits, now);
         let region = heartbeat.place.region.clone();
         self.entries.record(peer, heartbeat, now);
         if !follows {
@@ -39,6 +43,10 @@
         let replicas = self.replica_peers().into_iter().collect();
         let view = self.refresh_follower_view(&region, now);
         let (busy, outages) = view.region_reports(&region, now);
+        let rate_limits = view.rate_limits.as_ref().map(|limits| match limits.mark {
+            mark if mark == known_limits => RateLimitView { mark, limits: None },
+            _ => limits.clone(),
+        });
         let reply = HeartbeatReply {
             echo,
             current,
@@ -49,6 +57,7 @@
             demand: view.demand.clone(),
             busy,
             outages,
+            rate_limits,
         };
         vec![send_message(peer, FleetMessage::PulseReply(reply))]
     }
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -27,6 +27,7 @@
             membership::MembershipController,
             messages::{FleetMessage, InstancePlace},
             outages::OutageTracker,
+            rate_limits::RateLimitTracker,
             roster::{TargetList, TargetRoster},
             routes::RouteIndex,
         },
@@ -118,6 +119,7 @@
     entries: EntryRegistry,
     loads: LoadTracker,
     outages: OutageTracker,
+    rate_limits: RateLimitTracker,
     /// The cached data for followers.
     follower_view: Option<FollowerView>,
     domains: BTreeMap<DomainName, RegionName>,
@@ -159,6 +161,7 @@
             entries: EntryRegistry::default(),
             loads: LoadTracker::default(),
             outages: OutageTracker::default(),
+            rate_limits: RateLimitTracker::default(),
             follower_view: None,
             domains,
             roster: TargetRoster::default(),
@@ -253,6 +256,7 @@
         self.entries.tick(now);
         self.loads.tick(now);
         self.outages.tick(now);
+        self.rate_limits.tick(now);
         let peers = self.command_peers();
         let (completed, sent) = self.submitter.tick(&peers, now);
         effects.extend(sent);
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -15,7 +15,6 @@
                 TargetAttempt, TargetLoad, TransferredBytes,
             },
             router::RequestRouter,
-            target_notice::{StatedLimit, TargetNotice},
             target_state::TargetHealth,
         },
         util::stable_hash,
@@ -164,6 +163,7 @@
             state.own_in_flight += 1;
             is_local = state.region == self.settings.region;
             address = state.info.address;
+            state.take_permit(now);
             if is_cold {
                 state.cold_limiter.take_permit(cold_per_s.unwrap_or(COLD_PER_S_DEFAULT), now);
             }
@@ -247,26 +247,6 @@
         }
     }
 
-    /// Records what a target said of itself with a response of its own.
-    pub fn record_notice(&mut self, target: &TargetName, notice: TargetNotice, now: Moment) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        if notice.is_malformed && !state.malformed_logged {
-            state.malformed_logged = true;
-            self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
-        }
-        let old = state.stated_limit.and_then(|stated| stated.per_s);
-        state.stated_limit = Some(StatedLimit { per_s: notice.rate_limit, heard_at: now });
-        match notice.rate_limit {
-            Some(per_s) if old != Some(per_s) => {
-                self.log_events.push(DecisionEvent::LimitStated { target: target.clone(), per_s });
-            }
-            None if old.is_some() => {
-                self.log_events.push(DecisionEvent::LimitEnded { target: target.clone() });
-            }
-            _ => {}
-        }
-    }
-
     /// Records the result of an attempt in the state of the request, its target and its service.
     ///
     /// `elapsed` is the time that the target took if it answered, otherwise the time since the
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,7 +2,7 @@
 Routing of requests at an entry: decides which target runs each request and which requests are
 refused.
 
-* [`request`] is the state of a request; [`target_state`] is that of a target as the entry sees it,
+* [`request`] is the state of a request; `target_state` is that of a target as the entry sees it,
   and [`target_notice`] what a target says of itself.
 * [`router`] holds the state that decisions are based on; `admission` admits requests, `dispatch`
   starts attempts and records their results, and [`placement`] chooses a target.
@@ -11,7 +11,8 @@
   retries of refused callers over time.
 * [`body_budget`] limits the memory for callers' bodies.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
-* [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets.
+* [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets, and
+  `target_limits` with `rate_share` those to targets that state a limit.
 
 On sticky routes, all entries prefer the same target of a region for the same object, without
 coordination: rendezvous hashing ranks the targets by a hash of the object's key and the target's
@@ -25,11 +26,13 @@
 mod dispatch;
 mod link_meter;
 pub mod placement;
+mod rate_share;
 pub mod request;
 pub mod retry_budget;
 mod retry_pacer;
 mod route_stats;
 pub mod router;
 pub mod spillover;
+mod target_limits;
 pub mod target_notice;
 mod target_state;
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PlacementError {
     /// Neither the first nor the second choice among a region's available warm targets has capacity
-    /// for the request.
+    /// for the request, or the rate limits of all warm targets leave this entry none now.
     NoCapacity,
     /// No warm target is available, and no cold one may get the request now.
     NoTarget,
@@ -108,7 +108,15 @@
             .map(|(name, state)| (affinity_score(request.key_hash, name), name, state))
             .collect();
         if ranked.is_empty() {
-            return Err(PlacementError::NoTarget);
+            let is_limited = |name: &TargetName| {
+                let state = self.targets.get(name).filter(|state| !state.is_cold(self.now));
+                state.is_some_and(|state| self.is_usable(request, name, state))
+            };
+            // Targets without a permit are like full ones: they will take requests again.
+            return Err(match pool.iter().any(is_limited) {
+                true => PlacementError::NoCapacity,
+                false => PlacementError::NoTarget,
+            });
         }
         // Targets with a high failure rate rank last, except for occasional trials.
         let is_failing = |name: &TargetName, state: &TargetState| {
@@ -162,6 +170,11 @@
         name: &TargetName,
         state: &TargetState,
     ) -> bool {
+        self.is_usable(request, name, state) && state.has_permit(self.now)
+    }
+
+    /// Returns whether a target may get the request now or once its rate limit permits.
+    fn is_usable(&self, request: &AdmittedRequest, name: &TargetName, state: &TargetState) -> bool {
         state.is_eligible()
             && !self.evacuated.contains(&state.info.domain)
             && !request.tried_targets.contains(name)
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -20,6 +20,7 @@
             retry_pacer::RetryPacer,
             route_stats::RouteStats,
             spillover::SpilloverPlan,
+            target_limits::SharedLimits,
             target_state::{ProbeRequest, TargetState},
         },
     },
@@ -90,6 +91,9 @@
     pub(super) split_credits: BTreeMap<RouteName, Vec<i64>>,
     /// The fraction of attempts that each service's targets fail.
     pub(super) failure_rates: BTreeMap<ServiceName, f64>,
+    pub(super) shared_limits: SharedLimits,
+    /// Whether the live entries have changed since the shares of targets' limits were divided.
+    pub(super) entries_changed: bool,
     pub(super) regional_demand: BTreeMap<RegionName, BTreeMap<ServiceName, f32>>,
     pub(super) rates_updated_at: Moment,
     pub(super) request_counter: u64,
@@ -123,6 +127,8 @@
             route_stats: BTreeMap::new(),
             split_credits: BTreeMap::new(),
             failure_rates: BTreeMap::new(),
+            shared_limits: SharedLimits::default(),
+            entries_changed: false,
             regional_demand: BTreeMap::new(),
             rates_updated_at: now,
             request_counter: now.0,
@@ -219,6 +225,7 @@
     /// Sets the live entries of the fleet.
     pub fn set_entries(&mut self, live: &LiveEntries) {
         self.entries = live.entries.clone();
+        self.entries_changed = true;
     }
 
     /// Sets the demand of each region for each service, in busy slots.
@@ -290,8 +297,8 @@
         demand
     }
 
-    /// Updates time-dependent state; returns the probes that are due. Draining targets aren't
-    /// probed.
+    /// Updates time-dependent state; returns the probes that are due. Neither draining targets are
+    /// probed nor those whose rate limit leaves this entry no request.
     pub fn tick(&mut self, now: Moment) -> Vec<ProbeRequest> {
         self.update_rates(now);
         self.link_meter.update(now);
@@ -300,9 +307,15 @@
         for budget in self.retry_budgets.values_mut() {
             budget.expire(2 * window, now);
         }
-        let due = self.targets.iter_mut().filter(|(_, state)| !state.info.draining);
-        let due = due.filter_map(|(name, state)| state.start_probe(now).then(|| name.clone()));
-        due.map(|target| ProbeRequest { target }).collect()
+        self.update_shares(now);
+        let mut probes = Vec::new();
+        for (name, state) in &mut self.targets {
+            if !state.info.draining && state.has_permit(now) && state.start_probe(now) {
+                state.take_permit(now);
+                probes.push(ProbeRequest { target: name.clone() });
+            }
+        }
+        probes
     }
 
     /// Returns the address and path with which to probe a target.
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -10,7 +10,10 @@
     crate::{
         clock::Moment,
         fleet::roster::TargetInfo,
-        traffic::{cold_limiter::ColdLimiter, request::TargetLoad, target_notice::StatedLimit},
+        traffic::{
+            cold_limiter::ColdLimiter, rate_share::RateShare, request::TargetLoad,
+            target_notice::StatedLimit,
+        },
     },
     hemlockspool_model::names::{RegionName, TargetName},
     std::time::Duration,
@@ -77,6 +80,8 @@
     pub cold_limiter: ColdLimiter,
     /// What the target last stated to this entry about its rate limit.
     pub stated_limit: Option<StatedLimit>,
+    /// This entry's share in the target's rate limit, if that has one.
+    pub rate_share: Option<RateShare>,
     /// Whether the target's malformed statements have been logged.
     pub malformed_logged: bool,
     /// The last time a connection to the target timed out while this entry's link was uncongested,
@@ -104,6 +109,7 @@
             cold_until: cold,
             cold_limiter: ColdLimiter::default(),
             stated_limit: None,
+            rate_share: None,
             malformed_logged: false,
             unreachable_at: None,
             last_reached_at: None,
@@ -119,6 +125,7 @@
             self.health = TargetHealth::Healthy;
             self.consecutive_failures = 0;
             self.stated_limit = None;
+            self.rate_share = None;
         }
         // A target that drains never accepts new requests again under the same name.
         let draining = self.info.draining || info.draining;
@@ -273,6 +280,18 @@
         self.health = TargetHealth::Ejected { until: now.after(backoff), backoff };
     }
 
+    /// Returns whether the target's rate limit, if any, leaves this entry a request now.
+    pub fn has_permit(&self, now: Moment) -> bool {
+        self.rate_share.is_none_or(|share| share.is_ready(now))
+    }
+
+    /// Takes the permit for a request or a probe, if the target has a rate limit.
+    pub fn take_permit(&mut self, now: Moment) {
+        if let Some(share) = &mut self.rate_share {
+            share.take_permit(now);
+        }
+    }
+
     /// Returns whether the target may get new requests, unless its failure domain is evacuated.
     pub fn is_eligible(&self) -> bool {
         !self.info.draining && self.health == TargetHealth::Healthy && self.info.slots > 0
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -25,7 +25,13 @@
 /// The format version of every message; instances of different formats don't communicate.
 pub const WIRE_FORMAT: u16 = 3;
 
+/// The number of zero bytes that are assumed after a message that ends early.
+const PADDING_BYTES: usize = 16;
+
 /// A message with its format, deployment and sender.
+///
+/// Fields may be added to the end of a message without another format: instances without the field
+/// ignore it, and it is read from a message without it as zero, empty or none.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerEnvelope {
     /// The format version; see [`WIRE_FORMAT`].
@@ -214,6 +220,12 @@
         if format != WIRE_FORMAT {
             return Err(WireError::Format(format));
         }
-        Ok(postcard::from_bytes(bytes)?)
+        match postcard::from_bytes(bytes) {
+            Err(postcard::Error::DeserializeUnexpectedEnd) => {
+                let padded = [bytes, &[0; PADDING_BYTES]].concat();
+                Ok(postcard::from_bytes(&padded)?)
+            }
+            result => Ok(result?),
+        }
     }
 }
--- a/crates/core/tests/entry_registry.rs
+++ b/crates/core/tests/entry_registry.rs
@@ -34,6 +34,8 @@
         loads: Vec::new(),
         outages: Vec::new(),
         sent_at: at(0),
+        rate_limits: Vec::new(),
+        rate_limits_mark: 0,
     };
     (peer, heartbeat)
 }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -120,6 +120,7 @@
         demand: BTreeMap::new(),
         busy: Vec::new(),
         outages: Vec::new(),
+        rate_limits: None,
     })
 }
 
--- a/crates/core/tests/heartbeat_replies.rs
+++ b/crates/core/tests/heartbeat_replies.rs
@@ -29,6 +29,8 @@
 
 /// Number of entries of a fleet of the planned size.
 const ENTRIES: u16 = 420;
+/// Number of fields that were added to the end of heartbeats.
+const ADDED_HEARTBEAT_FIELDS: usize = 2;
 /// Number of targets of a fleet of the planned size.
 const TARGETS: u16 = 3_000;
 
@@ -116,6 +118,8 @@
         loads: vec![LoadSample { target: target_hash(&target(number)), requests: 5, age_ms: 0 }],
         outages: Vec::new(),
         sent_at: now,
+        rate_limits: Vec::new(),
+        rate_limits_mark: 0,
     }
 }
 
@@ -192,3 +196,18 @@
     );
     assert!(latest.busy.iter().all(|sample| sample.age_ms >= 30), "{:?}", latest.busy);
 }
+
+/// Guards against a rolling upgrade that fails because an instance can't read a message that lacks
+/// the fields added since, or has fields that it doesn't know yet.
+#[test]
+fn heartbeat_of_other_version_is_read() {
+    let message = FleetMessage::EntryPulse(heartbeat(1, at(5)));
+    let message = PeerMessage::Fleet(Box::new(message));
+    let envelope = identity("entry", address(1)).envelope(message);
+    let bytes = envelope.encode();
+    // Each of the added fields is empty or zero, and takes one byte.
+    let older = &bytes[..bytes.len() - ADDED_HEARTBEAT_FIELDS];
+    assert_eq!(PeerEnvelope::decode(older).as_ref(), Ok(&envelope));
+    let newer = [bytes.as_slice(), &[1, 2, 3]].concat();
+    assert_eq!(PeerEnvelope::decode(&newer).as_ref(), Ok(&envelope));
+}
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -7,7 +7,10 @@
 use {
     hemlockspool_core::{
         clock::Moment,
-        fleet::messages::{InstancePlace, LiveEntries},
+        fleet::{
+            messages::{InstancePlace, LiveEntries, RateLimitView},
+            rate_limits::RateLimitTracker,
+        },
         traffic::{
             request::{AdmittedRequest, AttemptResult, DispatchDecision, RequestHead},
             router::RequestRouter,
@@ -35,6 +38,8 @@
 const TOLD_MS: u64 = 500;
 /// The time from a request to its response.
 const RESPONSE_MS: u64 = 150;
+/// The time between two heartbeats of an entry.
+const HEARTBEAT_INTERVAL_MS: u64 = 250;
 const STEP_MS: u64 = 10;
 const RUN_MS: u64 = 30_000;
 
@@ -60,9 +65,12 @@
 /// A fleet of entries of one region with eight targets, of which one states a limit from the start.
 struct Fleet {
     entries: BTreeMap<SocketAddr, Entry>,
-    limit: f64,
+    /// The limit that the target states; none when it takes every request.
+    limit: Option<f64>,
     requests_per_s: f64,
     rng: Pcg32,
+    /// The limits known to the replica that all entries follow.
+    tracker: RateLimitTracker,
     /// The requests at the limited target: when, and whether the sender had been told.
     arrivals: Vec<(u64, bool)>,
 }
@@ -71,9 +79,10 @@
     fn new(entries: usize, limit: f64, requests_per_s: f64, seed: u64) -> Self {
         let mut fleet = Self {
             entries: BTreeMap::new(),
-            limit,
+            limit: Some(limit),
             requests_per_s,
             rng: Pcg32::seed_from_u64(seed),
+            tracker: RateLimitTracker::default(),
             arrivals: Vec::new(),
         };
         (0..entries).for_each(|number| fleet.start_entry(number));
@@ -103,24 +112,42 @@
         }
     }
 
+    /// Exchanges heartbeats between the replica and the entries that run.
+    fn exchange_heartbeats(&mut self, now: Moment) {
+        self.tracker.tick(now);
+        for entry in self.entries.values_mut().filter(|entry| !entry.stalled) {
+            self.tracker.record(&entry.router.recent_rate_limits(now), now);
+            if let Some(view) = self.tracker.limits(now) {
+                let known = entry.router.rate_limits_mark() == view.mark;
+                let limits = view.limits.filter(|_| !known);
+                entry.router.apply_rate_limits(RateLimitView { mark: view.mark, limits }, now);
+            }
+        }
+    }
+
     fn step(&mut self, now_ms: u64) {
         let now = at(now_ms);
+        if now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+            self.exchange_heartbeats(now);
+        }
         let rate = self.requests_per_s / self.entries.len() as f64 * STEP_MS as f64 / 1_000.0;
         for entry in self.entries.values_mut().filter(|entry| !entry.stalled) {
             let due: Vec<_> = entry.in_flight.extract_if(.., |(end, ..)| *end <= now_ms).collect();
             for (_, mut request, target) in due {
                 let is_limited = target.as_str() == LIMITED;
-                let rate_limit = is_limited.then_some(self.limit);
+                let rate_limit = self.limit.filter(|_| is_limited);
                 let notice = TargetNotice { rate_limit, is_malformed: false };
                 entry.router.record_notice(&target, notice, now);
-                if is_limited {
+                if rate_limit.is_some() {
                     entry.told_at.get_or_insert(now_ms);
                 }
                 let result = AttemptResult::Answered { status: 200, load: None };
                 let elapsed = Duration::from_millis(RESPONSE_MS);
                 entry.router.finish_attempt(&mut request, &target, result, elapsed, now);
             }
-            entry.router.tick(now);
+            if now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+                entry.router.tick(now);
+            }
             if self.rng.random_bool(rate.min(1.0)) {
                 let key = self.rng.random_range(0..400_u32).to_string();
                 if let Some((request, target)) = send(&mut entry.router, &key, now) {
@@ -146,6 +173,12 @@
         };
         counted.iter().map(within).max().unwrap_or(0)
     }
+
+    /// Returns the mean number of requests per second at the limited target in a time.
+    fn mean_rate(&self, from_ms: u64, until_ms: u64) -> f64 {
+        let count = self.arrivals.iter().filter(|(at, _)| (from_ms..until_ms).contains(at)).count();
+        count as f64 * 1_000.0 / (until_ms - from_ms) as f64
+    }
 }
 
 /// Sends a request and returns its target, or none if it is refused.
@@ -183,3 +216,59 @@
         }
     }
 }
+
+/// Guards against a limit that breaks when entries start, or stop and go on, while it is in force,
+/// or when entries don't agree about which of them there are.
+#[test]
+fn rate_limit_while_entries_change() {
+    let limit = 4.1;
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(12, limit, 150.0, seed);
+        let mut now_ms = 0;
+        for round in 0..12 {
+            let stalled = peer(round % 12);
+            fleet.entries.get_mut(&stalled).unwrap().stalled = true;
+            // An entry that has never heard of the limit joins; for two seconds, only some entries
+            // know of it.
+            fleet.start_entry(12 + round);
+            fleet.run_until(now_ms, now_ms + 2_000);
+            fleet.announce_entries();
+            fleet.entries.get_mut(&stalled).unwrap().stalled = false;
+            fleet.run_until(now_ms + 2_000, now_ms + 4_000);
+            now_ms += 4_000;
+        }
+        let most = fleet.most_in_window();
+        assert!(most <= allowed(limit), "seed {seed}: {most} requests in a window");
+    }
+}
+
+/// Guards against entries that send the target requests again, all at once, when they lose contact
+/// with the replicas and hear nothing new of the limit.
+#[test]
+fn rate_limit_without_replicas() {
+    let limit = 4.1;
+    let mut fleet = Fleet::new(30, limit, 300.0, 1);
+    fleet.run_until(0, 10_000);
+    for now_ms in (10_000..60_000).step_by(STEP_MS as usize) {
+        fleet.tracker = RateLimitTracker::default();
+        fleet.step(now_ms);
+    }
+    assert!(fleet.most_in_window() <= allowed(limit), "{}", fleet.most_in_window());
+}
+
+/// Guards against a target that stays without requests after its limit has ended, and against one
+/// that gets far less than it takes while the limit is in force.
+#[test]
+fn rate_limit_used_and_ended() {
+    for (entries, limit) in [(2, 4.1), (8, 4.1), (8, 20.0)] {
+        let mut fleet = Fleet::new(entries, limit, 400.0, 1);
+        fleet.run_until(0, 20_000);
+        let used = fleet.mean_rate(8_000, 20_000);
+        assert!(used >= limit / 2.0, "{entries} entries: {used} requests a second of {limit}");
+        fleet.limit = None;
+        fleet.run_until(20_000, 30_000);
+        // An eighth of the requests are for objects of this target.
+        let after = fleet.mean_rate(24_000, 30_000);
+        assert!(after >= 25.0, "{entries} entries: {after} requests a second without a limit");
+    }
+}
--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -151,7 +151,13 @@
     // Probes of a target are too rare to reuse a connection.
     let request = shell.client.get(url).header(header::CONNECTION, "close");
     let response = request.timeout(PROBE_TIMEOUT).send().await;
-    let healthy = response.ok().filter(|response| response.status().is_success());
+    let response =
+        response.ok().filter(|response| headers::names_target(response.headers(), &target));
+    if let Some(response) = &response {
+        let notice = headers::target_notice(response.headers());
+        shell.with_state(|state, now| state.router.record_notice(&target, notice, now));
+    }
+    let healthy = response.filter(|response| response.status().is_success());
     let cold = healthy.and_then(|response| headers::cold_time_left(response.headers(), &target));
     shell.apply(EntryEvent::Probed { target, cold });
 }
