--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -20,6 +20,7 @@
     hyper_util::rt::TokioIo,
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{Mutex, PoisonError},
         time::Duration,
     },
@@ -90,12 +91,24 @@
 }
 
 /// The idle connections, which later requests reuse.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
+    /// Addresses to connect to in place of targets' own.
+    tunnels: BTreeMap<SocketAddr, SocketAddr>,
     idle_connections: Mutex<BTreeMap<TargetName, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections. A target whose address is a key of `tunnels` is connected
+    /// to at the address that the key maps to.
+    pub(crate) fn new(tunnels: BTreeMap<SocketAddr, SocketAddr>) -> Self {
+        Self { tunnels, idle_connections: Mutex::default() }
+    }
+
+    /// Returns the address to connect to for a target's address.
+    pub(crate) fn route_to(&self, address: SocketAddr) -> SocketAddr {
+        self.tunnels.get(&address).copied().unwrap_or(address)
+    }
+
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &self,
@@ -113,7 +126,9 @@
                 },
             }
         }
-        let Some(mut connection) = connect(attempt).await else {
+        let Some(mut connection) =
+            connect(self.route_to(attempt.address), attempt.connect_timeout).await
+        else {
             return SendResult::NotSent;
         };
         match connection.sender.try_send_request(request).await {
@@ -193,9 +208,9 @@
     }
 }
 
-async fn connect(attempt: &TargetAttempt) -> Option<TargetConnection> {
+async fn connect(address: SocketAddr, limit: Duration) -> Option<TargetConnection> {
     let started = Instant::now();
-    let stream = timeout(attempt.connect_timeout, TcpStream::connect(attempt.address)).await;
+    let stream = timeout(limit, TcpStream::connect(address)).await;
     let stream = stream.ok()?.ok()?;
     let connect_time = Some(started.elapsed());
     set_unacked_timeout(&stream, UNACKED_TIMEOUT);
--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -71,9 +71,10 @@
     /// Creates a shell.
     pub(crate) fn new(parts: EntryShellParts) -> Arc<Self> {
         let EntryShellParts { settings, state, log, client, links, started } = parts;
+        let pool = ConnectionPool::new(settings.tunnels.clone().unwrap_or_default());
         Arc::new(Self {
             settings,
-            pool: ConnectionPool::default(),
+            pool,
             log,
             metrics: Arc::new(FleetMetrics::new()),
             client,
@@ -147,7 +148,7 @@
 }
 
 async fn probe(shell: Arc<EntryShell>, target: TargetName, address: SocketAddr, path: String) {
-    let url = format!("http://{address}{path}");
+    let url = format!("http://{}{path}", shell.pool.route_to(address));
     // Probes of a target are too rare to reuse a connection.
     let request = shell.client.get(url).header(header::CONNECTION, "close");
     let response = request.timeout(PROBE_TIMEOUT).send().await;
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -58,7 +58,8 @@
     pub link_mbps: f64,
     /// The memory that the process may use, in MB; 128 by default.
     pub memory_mb: Option<f64>,
-    /// Addresses to connect to in place of peers' addresses, such as the local end of a tunnel.
+    /// Addresses to connect to in place of peers' and targets' addresses, such as the local end of a
+    /// tunnel.
     pub tunnels: Option<BTreeMap<SocketAddr, SocketAddr>>,
     /// The grace period within which a process must exit after it was asked to stop.
     pub grace: TextDuration,
--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -15,7 +15,7 @@
         net::{TcpListener, TcpStream, tcp},
         sync::mpsc,
         task::JoinHandle,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -43,6 +43,8 @@
     pub downstream: DirectionFaults,
     /// Open connections are closed, and new ones are closed right after they are accepted.
     pub cut: bool,
+    /// Open connections are closed, and new ones are refused.
+    pub refused: bool,
 }
 
 /// A proxy in front of one address. When it is dropped, it accepts no more connections, but open
@@ -68,7 +70,21 @@
         let sent: SentLog = Arc::default();
         let (connection_faults, sent_log) = (Arc::clone(&faults), Arc::clone(&sent));
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut listener = Some(listener);
+            loop {
+                if connection_faults.lock().unwrap().refused {
+                    listener = None;
+                    sleep(FAULT_POLL_INTERVAL).await;
+                    continue;
+                }
+                let Some(bound) = &listener else {
+                    listener = TcpListener::bind(address).await.ok();
+                    continue;
+                };
+                let Ok(accepted) = timeout(FAULT_POLL_INTERVAL, bound.accept()).await else {
+                    continue;
+                };
+                let Ok((stream, _)) = accepted else { break };
                 if connection_faults.lock().unwrap().cut {
                     continue;
                 }
@@ -112,20 +128,34 @@
     /// Delays both directions and removes all other faults.
     pub fn delay(&self, delay: Duration) {
         let direction = DirectionFaults { delay, ..DirectionFaults::default() };
-        self.set(ProxyFaults { upstream: direction, downstream: direction, cut: false });
+        self.set(ProxyFaults {
+            upstream: direction,
+            downstream: direction,
+            cut: false,
+            refused: false,
+        });
     }
 
     pub fn cut(&self) {
         self.faults.lock().unwrap().cut = true;
     }
 
+    pub fn refuse(&self) {
+        self.faults.lock().unwrap().refused = true;
+    }
+
     pub fn clear_faults(&self) {
         self.set(ProxyFaults::default());
     }
 }
 
-/// Connects to the upstream address and forwards both directions until one ends or the proxy is
-/// cut.
+fn is_closed(faults: &Mutex<ProxyFaults>) -> bool {
+    let faults = faults.lock().unwrap();
+    faults.cut || faults.refused
+}
+
+/// Connects to the upstream address and forwards both directions until one ends or the proxy
+/// closes its connections.
 async fn forward_connection(
     client: TcpStream,
     upstream_address: SocketAddr,
@@ -153,15 +183,14 @@
             _ = &mut upstream_task => break,
             _ = &mut downstream_task => break,
             () = sleep(FAULT_POLL_INTERVAL) => {
-                if faults.lock().unwrap().cut {
+                if is_closed(&faults) {
                     break;
                 }
             }
         }
     }
     // Bytes in flight may still have to reach the side that hasn't closed.
-    let grace =
-        if faults.lock().unwrap().cut { Duration::ZERO } else { Duration::from_millis(200) };
+    let grace = if is_closed(&faults) { Duration::ZERO } else { Duration::from_millis(200) };
     sleep(grace).await;
     upstream_task.abort();
     downstream_task.abort();
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -41,6 +41,8 @@
     pub list_address: SocketAddr,
     /// Whether connections to peer addresses go through fault proxies.
     pub proxied: bool,
+    /// Addresses of targets that entries connect to through fault proxies.
+    pub proxied_targets: Vec<SocketAddr>,
 }
 
 /// A running fleet; methods name a process by its index in `nodes`, where replicas come first.
@@ -49,6 +51,8 @@
     pub plan: FleetPlan,
     /// Proxies by the process that connects and the one that it connects to.
     pub proxies: BTreeMap<(usize, usize), FaultProxy>,
+    /// Proxies by the entry that connects and the address of the target.
+    pub target_proxies: BTreeMap<(usize, SocketAddr), FaultProxy>,
     addresses: Vec<Ipv4Addr>,
     bootstrapping: Mutex<bool>,
     folder: TempDir,
@@ -79,10 +83,24 @@
                 }
             }
         }
+        let mut target_proxies = BTreeMap::new();
+        for target in &plan.proxied_targets {
+            for entry in plan.replicas.len()..count {
+                let proxy = FaultProxy::start(*target).await.unwrap();
+                target_proxies.insert((entry, *target), proxy);
+            }
+        }
         let folder = TempDir::new().unwrap();
         let bootstrapping = Mutex::new(true);
-        let mut cluster =
-            Self { nodes: Vec::new(), plan, proxies, addresses, bootstrapping, folder };
+        let mut cluster = Self {
+            nodes: Vec::new(),
+            plan,
+            proxies,
+            target_proxies,
+            addresses,
+            bootstrapping,
+            folder,
+        };
         for index in 0..count {
             let node = cluster.node_process(index);
             cluster.nodes.push(node);
@@ -175,6 +193,11 @@
             let tunnels: BTreeMap<String, SocketAddr> = (self.proxies.iter())
                 .filter(|((from, _), _)| *from == index)
                 .map(|((_, to), proxy)| (self.nodes[*to].peer.to_string(), proxy.address))
+                .chain(
+                    (self.target_proxies.iter())
+                        .filter(|((entry, _), _)| *entry == index)
+                        .map(|((_, target), proxy)| (target.to_string(), proxy.address)),
+                )
                 .collect();
             let settings = json!({
                 "name": node.name, "deployment": "test", "region": node.region,
