An entry that reaches no target forwards its requests to another entry

Cause: the entry took the cut for a fault of each target, or of its own saturated link, and had nothing but targets to send to; lookups went on naming it, since being ready says nothing of targets. Class: a fault of the observer's own that is put down to everything it observes. Change: failed connections to four targets in a row beside quick replies of the replica tell an entry that it is cut off. It then forwards requests to other entries, never twice, and reports no outages. Heartbeats say so, and lookups name others. Why it works: the other entries reach the targets and the cut entry reaches them; a forwarded request is served like a caller's own.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -127,6 +127,45 @@
         /// The name of the target.
         target: TargetName,
     },
+    /// The entry has lost its connections to all targets, and forwards requests to other entries.
+    TargetsUnreachable {
+        /// The number of targets that couldn't be connected to, without one in between that could.
+        failed: usize,
+    },
+    /// The entry can connect to targets again.
+    TargetsReached {
+        /// The time for which it forwarded requests, in milliseconds.
+        millis: u64,
+    },
+    /// A request is about to be forwarded to another entry.
+    RequestForwarded {
+        /// The identifier of the request.
+        request: String,
+        /// The address at which the other entry listens for callers.
+        peer: SocketAddr,
+        /// The time left before the request's deadline, in milliseconds.
+        left_ms: u64,
+    },
+    /// Another entry answered a forwarded request with a target's response.
+    ForwardingAnswered {
+        /// The identifier of the request.
+        request: String,
+        /// The address at which the other entry listens for callers.
+        peer: SocketAddr,
+        /// The HTTP status of the response.
+        status: u16,
+        /// The time since the request arrived, in milliseconds.
+        took_ms: u64,
+    },
+    /// Forwarding a request to another entry ended without a target's response.
+    ForwardingFailed {
+        /// The identifier of the request.
+        request: String,
+        /// The address at which the other entry listens for callers.
+        peer: SocketAddr,
+        /// The cause of the failure.
+        reason: &'static str,
+    },
     /// A target was chosen for an attempt, which is about to be sent.
     RequestSent {
         /// The identifier of the request.
@@ -235,11 +274,16 @@
         (252, LogLevel::Warn, "a target stated a limit on its requests"),
         (253, LogLevel::Info, "a target's limit on its requests ended"),
         (254, LogLevel::Warn, "a target stated something about itself that can't be used"),
+        (255, LogLevel::Warn, "no target can be connected to; requests go to other entries"),
+        (256, LogLevel::Info, "targets can be connected to again"),
         (260, LogLevel::Info, "a request was sent to a target"),
         (261, LogLevel::Info, "a request was refused without having run"),
         (262, LogLevel::Warn, "a request failed, or its outcome is unknown"),
         (263, LogLevel::Info, "a request was answered"),
         (264, LogLevel::Warn, "an attempt ended without a successful response"),
+        (265, LogLevel::Info, "a request was forwarded to another entry"),
+        (266, LogLevel::Info, "another entry answered a forwarded request"),
+        (267, LogLevel::Warn, "forwarding a request to another entry failed"),
         (270, LogLevel::Info, "the percentage of requests sent to other regions changed"),
         (280, LogLevel::Warn, "log lines were dropped"),
     ];
@@ -265,6 +309,11 @@
             Self::LimitStated { .. } => 252,
             Self::LimitEnded { .. } => 253,
             Self::NoticeMalformed { .. } => 254,
+            Self::TargetsUnreachable { .. } => 255,
+            Self::TargetsReached { .. } => 256,
+            Self::RequestForwarded { .. } => 265,
+            Self::ForwardingAnswered { .. } => 266,
+            Self::ForwardingFailed { .. } => 267,
             Self::RequestSent { .. } => 260,
             Self::RequestRefused { .. } => 261,
             Self::RequestFailed { .. } => 262,
@@ -277,6 +326,12 @@
 
     /// Returns whether the event is frequent and reports the normal course of a request.
     pub fn is_routine(&self) -> bool {
-        matches!(self, Self::RequestSent { .. } | Self::RequestAnswered { .. })
+        matches!(
+            self,
+            Self::RequestSent { .. }
+                | Self::RequestAnswered { .. }
+                | Self::RequestForwarded { .. }
+                | Self::ForwardingAnswered { .. }
+        )
     }
 }
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -142,6 +142,8 @@
     heartbeat_due: Moment,
     router_tick_due: Moment,
     stopping: bool,
+    /// Whether the last heartbeats said that this entry can't connect to any target.
+    cut_off_sent: bool,
     /// The percentage of spillover that was last logged for each service.
     logged_spillover: BTreeMap<ServiceName, u32>,
     /// The router for callers' requests.
@@ -176,6 +178,7 @@
             heartbeat_due: now,
             router_tick_due: now,
             stopping: false,
+            cut_off_sent: false,
             logged_spillover: BTreeMap::new(),
             router: RequestRouter::new(router, now),
             identity,
@@ -236,6 +239,11 @@
 
     fn tick(&mut self, now: Moment) -> Vec<NodeEffect> {
         let mut effects = self.choose_replica(now);
+        if self.router.is_cut_off() != self.cut_off_sent {
+            self.cut_off_sent = self.router.is_cut_off();
+            self.heartbeat_due = now;
+            self.followed_heartbeat_due = now;
+        }
         effects.extend(self.send_heartbeats(now));
         effects.extend(self.read_list(now));
         if now >= self.router_tick_due {
@@ -338,6 +346,7 @@
             sent_at: now,
             rate_limits: self.router.recent_rate_limits(now),
             rate_limits_mark: self.router.rate_limits_mark(),
+            cut_off: self.router.is_cut_off(),
         };
         send_message(peer, FleetMessage::EntryPulse(heartbeat))
     }
@@ -416,6 +425,7 @@
         let Some(followed) = self.followed.as_mut().filter(|followed| followed.peer == peer) else {
             return Vec::new();
         };
+        self.router.record_reply(now.since(reply.echo), now);
         let mut effects = Vec::new();
         if reply.current && now.since(reply.echo) < REPLICA_TIMEOUT {
             followed.last_current_reply = Some(now);
--- a/crates/core/src/fleet/entry_registry.rs
+++ b/crates/core/src/fleet/entry_registry.rs
@@ -63,6 +63,12 @@
     open: bool,
 }
 
+impl EntryRecord {
+    fn is_live(&self) -> bool {
+        self.heartbeat.ready && !self.heartbeat.cut_off
+    }
+}
+
 impl EntryRegistry {
     /// Records a heartbeat.
     pub fn record(&mut self, peer: SocketAddr, heartbeat: EntryHeartbeat, now: Moment) {
@@ -142,9 +148,9 @@
         }
     }
 
-    /// Returns the ready entries.
+    /// Returns the ready entries that reach targets.
     pub(crate) fn live_entries(&self) -> LiveEntries {
-        let ready = self.entries.iter().filter(|(_, record)| record.heartbeat.ready);
+        let ready = self.entries.iter().filter(|(_, record)| record.is_live());
         let entries: BTreeMap<SocketAddr, InstancePlace> =
             ready.map(|(peer, record)| (*peer, record.heartbeat.place.clone())).collect();
         // The hash depends on the `Debug` output of the location type: its name and fields must
@@ -169,6 +175,9 @@
     /// of those in its region if there are too few or their links are busy; and, if the region has
     /// none, of those in the home regions, or in all regions if `homes` is empty. Empty until
     /// enough entries are ready.
+    ///
+    /// Entries that are cut off from targets are left out unless all others that the caller may use
+    /// are too.
     pub fn entry_addresses(
         &self,
         region: &RegionName,
@@ -178,23 +187,43 @@
         if !self.open {
             return Vec::new();
         }
-        let in_domain = self.entry_addresses_where(|place| place.domain == *domain);
+        let live = self.addresses_among(region, domain, homes, EntryRecord::is_live);
+        if !live.is_empty() {
+            return live;
+        }
+        self.addresses_among(region, domain, homes, |record| record.heartbeat.ready)
+    }
+
+    fn addresses_among<F>(
+        &self,
+        region: &RegionName,
+        domain: &DomainName,
+        homes: &[RegionName],
+        is_usable: F,
+    ) -> Vec<SocketAddr>
+    where
+        F: Fn(&EntryRecord) -> bool,
+    {
+        let usable: Vec<&EntryHeartbeat> = (self.entries.values())
+            .filter(|record| is_usable(record))
+            .map(|record| &record.heartbeat)
+            .collect();
+        let in_domain = addresses_where(&usable, |place| place.domain == *domain);
         if in_domain.len() >= DOMAIN_ENTRIES_MIN && !self.widened.contains(domain) {
             return in_domain;
         }
-        let regional = self.entry_addresses_where(|place| place.region == *region);
+        let regional = addresses_where(&usable, |place| place.region == *region);
         if !regional.is_empty() {
             return regional;
         }
-        self.entry_addresses_where(|place| homes.is_empty() || homes.contains(&place.region))
+        addresses_where(&usable, |place| homes.is_empty() || homes.contains(&place.region))
     }
+}
 
-    fn entry_addresses_where<F>(&self, matches: F) -> Vec<SocketAddr>
-    where
-        F: Fn(&InstancePlace) -> bool,
-    {
-        let ready = self.entries.values().filter(|record| record.heartbeat.ready);
-        let matching = ready.filter(|record| matches(&record.heartbeat.place));
-        matching.map(|record| record.heartbeat.front).collect()
-    }
+fn addresses_where<F>(entries: &[&EntryHeartbeat], matches: F) -> Vec<SocketAddr>
+where
+    F: Fn(&InstancePlace) -> bool,
+{
+    let matching = entries.iter().filter(|heartbeat| matches(&heartbeat.place));
+    matching.map(|heartbeat| heartbeat.front).collect()
 }
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -86,10 +86,12 @@
     /// The sender's clock at the time of sending; returned in the reply.
     pub sent_at: Moment,
     /// What targets lately stated to the entry about their rate limits. Instances before this field
-    /// was added send neither this one nor the next; see [`PeerEnvelope`](crate::wire::PeerEnvelope).
+    /// was added send neither this one nor those after it; see [`PeerEnvelope`](crate::wire::PeerEnvelope).
     pub rate_limits: Vec<RateLimitReport>,
     /// The mark of the limits that it knows ([`RateLimitView::mark`]).
     pub rate_limits_mark: u64,
+    /// Whether it can't connect to any target, and forwards requests to other entries.
+    pub cut_off: bool,
 }
 
 /// What a target stated to an entry about its rate limit.
@@ -166,7 +168,7 @@
     pub rate_limits: Option<RateLimitView>,
 }
 
-/// The ready entries, as known to a replica.
+/// The ready entries that reach targets, as known to a replica.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LiveEntries {
     /// The hash of `entries`.
--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -96,6 +96,8 @@
             refused_with_capacity: false,
             possible_runs: 0,
             may_have_run: false,
+            is_forwarded: false,
+            tried_peers: Vec::new(),
             route,
         })
     }
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -37,7 +37,7 @@
     /// Decides the next step of a request: an attempt at a target, or a refusal.
     pub fn dispatch(&mut self, request: &mut AdmittedRequest, now: Moment) -> DispatchDecision {
         match self.try_dispatch(request, now) {
-            Ok(attempt) => DispatchDecision::Send(attempt),
+            Ok(decision) => decision,
             Err(reason) => DispatchDecision::Refuse(self.refuse(request, reason, now)),
         }
     }
@@ -46,7 +46,7 @@
         &mut self,
         request: &mut AdmittedRequest,
         now: Moment,
-    ) -> Result<TargetAttempt, RefusalReason> {
+    ) -> Result<DispatchDecision, RefusalReason> {
         let exhausted = if request.may_have_run {
             RefusalReason::OutcomeUnknown
         } else {
@@ -68,6 +68,9 @@
         {
             return Err(exhausted);
         }
+        if self.is_cut_off() {
+            return self.try_forward(request, now).map(DispatchDecision::Forward);
+        }
         if request.failed_connects >= FAILED_CONNECTS_MAX {
             return Err(if request.may_have_run { exhausted } else { RefusalReason::NoTarget });
         }
@@ -81,11 +84,11 @@
         if request.delivered_attempts > 0 && !self.try_withdraw_retry(&request.service, now) {
             return Err(exhausted);
         }
-        Ok(self.start_attempt(request, choice, now))
+        Ok(DispatchDecision::Send(self.start_attempt(request, choice, now)))
     }
 
     /// Takes a retry from the budget of a service; returns whether the budget allows it.
-    fn try_withdraw_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
+    pub(super) fn try_withdraw_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
         let entries = self.entries.len();
         let budget = self.retry_budgets.entry(service.clone()).or_default();
         budget.try_withdraw(self.settings.retry_limit, entries, now)
@@ -239,8 +242,10 @@
         self.body_budget.release(bytes);
     }
 
-    /// Records the time that a connection to a target took, if the target is in the entry's region.
-    pub fn record_connect_time(&mut self, target: &TargetName, elapsed: Duration) {
+    /// Records a new connection to a target, which has carried a response, and the time that it
+    /// took.
+    pub fn record_connect_time(&mut self, target: &TargetName, elapsed: Duration, now: Moment) {
+        self.record_connected(now);
         let state = self.targets.get(target);
         if state.is_some_and(|state| state.region == self.settings.region) {
             self.connect_meter.record_local_time(elapsed);
@@ -288,6 +293,10 @@
         self.update_failure_rate(request, result);
         let (link_saturated, link_uncongested) =
             (self.connect_meter.is_link_saturated(), self.connect_meter.is_link_uncongested());
+        if result == AttemptResult::NotSent && (conclusive || !timed_out) {
+            self.record_unconnected(target, now);
+        }
+        let is_cut_off = self.is_cut_off();
         let Some(state) = self.targets.get_mut(target) else { return };
         state.own_in_flight = state.own_in_flight.saturating_sub(1);
         if matches!(
@@ -299,7 +308,7 @@
         let ejected_for = match result {
             AttemptResult::NotSent if timed_out && (link_saturated || !conclusive) => None,
             AttemptResult::NotSent => {
-                if timed_out && link_uncongested {
+                if timed_out && link_uncongested && !is_cut_off {
                     state.unreachable_at = Some(now);
                 }
                 state.record_failure(true, now)
@@ -337,17 +346,7 @@
             | AttemptResult::Cancelled
             | AttemptResult::BodyFailed => None,
         };
-        let reason = match result {
-            AttemptResult::NotSent => "no connection",
-            AttemptResult::NotRun { replaced: true, .. } => "another instance at its address",
-            AttemptResult::NotRun { .. } => "not run",
-            AttemptResult::Answered { .. } => "answered",
-            AttemptResult::Interrupted => "broken answer",
-            AttemptResult::ConnectionClosed => "kept connection ended",
-            AttemptResult::TimedOut => "no answer in time",
-            AttemptResult::Cancelled => "caller gone",
-            AttemptResult::BodyFailed => "broken body",
-        };
+        let reason = result.as_str();
         let is_success = matches!(result, AttemptResult::Answered { status, .. } if status < 500);
         if !is_success {
             let (request, target) = (request.id.clone(), target.clone());
@@ -411,10 +410,7 @@
         bytes: TransferredBytes,
         now: Moment,
     ) {
-        self.link_meter.record_bytes(bytes.body + bytes.response);
-        if let Some((_, stats)) = self.route_stats.get_mut(&request.route.name) {
-            stats.record_transfer(bytes);
-        }
+        self.record_transfer(request, bytes);
         self.log_events.push(DecisionEvent::RequestAnswered {
             request: request.id.clone(),
             target: target.clone(),
@@ -422,4 +418,11 @@
             took_ms: now.since(request.arrived_at).as_millis() as u64,
         });
     }
+
+    pub(super) fn record_transfer(&mut self, request: &AdmittedRequest, bytes: TransferredBytes) {
+        self.link_meter.record_bytes(bytes.body + bytes.response);
+        if let Some((_, stats)) = self.route_stats.get_mut(&request.route.name) {
+            stats.record_transfer(bytes);
+        }
+    }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -9,6 +9,8 @@
 * `route_stats` measures the processing time of routes. `link_meter` and `connect_meter` measure how
   congested the entry's link is, by its traffic and by connect times, and `retry_pacer` spreads the
   retries of refused callers over time.
+* `reach_meter` finds out whether the entry reaches targets at all; `peer_forwarding` chooses another
+  entry for its requests while it doesn't.
 * [`body_budget`] limits the memory for callers' bodies.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
 * [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets, and
@@ -25,8 +27,10 @@
 mod connect_meter;
 mod dispatch;
 mod link_meter;
+mod peer_forwarding;
 pub mod placement;
 mod rate_share;
+mod reach_meter;
 pub mod request;
 pub mod retry_budget;
 mod retry_pacer;
--- /dev/null
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -0,0 +1,180 @@
+/*!
+Requests that an entry without connections to targets forwards to other entries.
+
+Such an entry still has callers: those who looked up entries before, and those whose connections are
+open. A peer treats a forwarded request like one of its own callers', but never forwards it again,
+so that requests don't circle between entries that are all cut off.
+*/
+
+use {
+    crate::{
+        clock::Moment,
+        fleet::{decision_events::DecisionEvent, messages::InstancePlace},
+        traffic::{
+            request::{
+                AdmittedRequest, AttemptResult, PeerAttempt, RefusalReason, TransferredBytes,
+            },
+            router::RequestRouter,
+            target_state::{ProbeRequest, TargetHealth},
+        },
+        util::stable_hash,
+    },
+    hemlockspool_model::names::TargetName,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The number of entries to which one request is forwarded, one after the other.
+const PEERS_MAX: usize = 3;
+/// The timeout of a connection to another entry: several round trips to the farthest region.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl RequestRouter {
+    /// Returns whether this entry has lost its connections to all targets.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach_meter.is_cut_off()
+    }
+
+    /// Records a reply of the followed replica, and the time since its heartbeat was sent.
+    pub fn record_reply(&mut self, elapsed: Duration, now: Moment) {
+        self.reach_meter.record_reply(elapsed, now);
+    }
+
+    /// Records a new connection to a target, which ends a time of being cut off.
+    pub(super) fn record_connected(&mut self, now: Moment) {
+        let Some((failed, duration)) = self.reach_meter.record_success(now) else { return };
+        // The targets were ejected for a fault of this entry's links.
+        for name in &failed {
+            if let Some(state) = self.targets.get_mut(name)
+                && state.health != TargetHealth::Replaced
+            {
+                state.health = TargetHealth::Healthy;
+                state.consecutive_failures = 0;
+            }
+        }
+        let millis = duration.as_millis() as u64;
+        self.log_events.push(DecisionEvent::TargetsReached { millis });
+    }
+
+    /// Records a target that couldn't be connected to for a reason that isn't this entry's load.
+    pub(super) fn record_unconnected(&mut self, target: &TargetName, now: Moment) {
+        self.reach_meter.record_failure(target, now);
+        self.update_reach(now);
+    }
+
+    /// Finds out whether this entry is cut off: it may have ejected all targets before that is
+    /// certain, and then makes no more attempts that would show it.
+    pub(super) fn update_reach(&mut self, now: Moment) {
+        let known = self.targets.len();
+        let Some(failed) = self.reach_meter.start_cut_off(known, now) else { return };
+        // The reports would eject targets at entries that reach them.
+        self.targets.values_mut().for_each(|state| state.unreachable_at = None);
+        self.log_events.push(DecisionEvent::TargetsUnreachable { failed });
+    }
+
+    /// Returns a probe of the next target, which shows whether this entry is still cut off.
+    pub(super) fn next_reach_probe(&mut self, now: Moment) -> Option<ProbeRequest> {
+        if !self.is_cut_off() {
+            return None;
+        }
+        let usable = |name: &&TargetName| {
+            let state = self.targets.get(*name);
+            state.is_some_and(|state| !state.info.draining && state.has_permit(now))
+        };
+        let count = self.targets.keys().filter(usable).count();
+        self.reach_probes = self.reach_probes.wrapping_add(1);
+        let target = self.targets.keys().filter(usable).nth(self.reach_probes % count.max(1))?;
+        Some(ProbeRequest { target: target.clone() })
+    }
+
+    /// Chooses another entry for a request that this one can't send to any target.
+    ///
+    /// # Errors
+    ///
+    /// The reason to refuse the request: it was forwarded to this entry, or no other entry may get
+    /// it.
+    pub(super) fn try_forward(
+        &mut self,
+        request: &mut AdmittedRequest,
+        now: Moment,
+    ) -> Result<PeerAttempt, RefusalReason> {
+        let exhausted = if request.may_have_run {
+            RefusalReason::OutcomeUnknown
+        } else {
+            RefusalReason::NoTarget
+        };
+        if request.is_forwarded || request.tried_peers.len() >= PEERS_MAX {
+            return Err(exhausted);
+        }
+        let peer = self.choose_peer(request).ok_or(exhausted)?;
+        if request.delivered_attempts > 0 && !self.try_withdraw_retry(&request.service, now) {
+            return Err(exhausted);
+        }
+        request.tried_peers.push(peer);
+        let time_left = request.deadline.since(now);
+        // All entries listen for callers on the same port.
+        let address = SocketAddr::new(peer.ip(), self.settings.callers_port);
+        let left_ms = time_left.as_millis() as u64;
+        self.log_events.push(DecisionEvent::RequestForwarded {
+            request: request.id.clone(),
+            peer: address,
+            left_ms,
+        });
+        let connect_timeout = PEER_CONNECT_TIMEOUT.min(time_left);
+        Ok(PeerAttempt { address, connect_timeout, time_left })
+    }
+
+    /// Chooses an entry that the request hasn't been forwarded to, of this region if there is one.
+    /// Neither other regions' entries nor their targets may get a request with home regions, unless
+    /// theirs is one.
+    fn choose_peer(&self, request: &AdmittedRequest) -> Option<SocketAddr> {
+        let homes = &request.route.homes;
+        let is_local = |place: &InstancePlace| place.region == self.settings.region;
+        let candidates = self.entries.iter().filter(|(peer, place)| {
+            **peer != self.settings.me
+                && !request.tried_peers.contains(peer)
+                && (homes.is_empty() || is_local(place) || homes.contains(&place.region))
+        });
+        let rank = |(peer, place): &(&SocketAddr, &InstancePlace)| {
+            (!is_local(place), stable_hash(format!("{} {peer}", request.id).as_bytes()))
+        };
+        candidates.min_by_key(rank).map(|(peer, _)| *peer)
+    }
+
+    /// Records the result of forwarding a request to another entry.
+    pub fn finish_forwarding(
+        &mut self,
+        request: &mut AdmittedRequest,
+        peer: SocketAddr,
+        result: AttemptResult,
+    ) {
+        match result {
+            AttemptResult::NotSent => {}
+            AttemptResult::NotRun { .. } => request.delivered_attempts += 1,
+            _ => {
+                request.delivered_attempts += 1;
+                request.possible_runs += 1;
+                request.may_have_run = true;
+            }
+        }
+        if !matches!(result, AttemptResult::Answered { .. }) {
+            let (request, reason) = (request.id.clone(), result.as_str());
+            self.log_events.push(DecisionEvent::ForwardingFailed { request, peer, reason });
+        }
+    }
+
+    /// Records a request that another entry answered, and the bytes that it took on this entry's
+    /// link.
+    pub fn finish_forwarded_request(
+        &mut self,
+        request: &AdmittedRequest,
+        peer: SocketAddr,
+        status: u16,
+        bytes: TransferredBytes,
+        now: Moment,
+    ) {
+        self.record_transfer(request, bytes);
+        let took_ms = now.since(request.arrived_at).as_millis() as u64;
+        let request = request.id.clone();
+        self.log_events.push(DecisionEvent::ForwardingAnswered { request, peer, status, took_ms });
+    }
+}
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -69,6 +69,10 @@
     pub(crate) possible_runs: u32,
     /// Whether a target may have run it.
     pub may_have_run: bool,
+    /// Whether another entry forwarded it to this one.
+    pub is_forwarded: bool,
+    /// The peer addresses of the entries to which this one forwarded it.
+    pub(crate) tried_peers: Vec<SocketAddr>,
 }
 
 impl AdmittedRequest {
@@ -96,6 +100,18 @@
     pub new_connection: bool,
 }
 
+/// An attempt to be made through another entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerAttempt {
+    /// The address at which the other entry listens for callers.
+    pub address: SocketAddr,
+    /// The connect timeout.
+    pub connect_timeout: Duration,
+    /// The time left before the deadline; it is sent to the other entry and is the timeout of the
+    /// attempt.
+    pub time_left: Duration,
+}
+
 /// The reason why a request ends without a response from a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalReason {
@@ -174,6 +190,8 @@
 pub enum DispatchDecision {
     /// Make an attempt.
     Send(TargetAttempt),
+    /// Make an attempt through another entry, since this one is cut off from targets.
+    Forward(PeerAttempt),
     /// Refuse the request.
     Refuse(RequestRefusal),
 }
@@ -233,6 +251,21 @@
 }
 
 impl AttemptResult {
+    /// Returns the text of the result in log events and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "no connection",
+            Self::NotRun { replaced: true, .. } => "another instance at its address",
+            Self::NotRun { .. } => "not run",
+            Self::Answered { .. } => "answered",
+            Self::Interrupted => "broken answer",
+            Self::ConnectionClosed => "kept connection ended",
+            Self::TimedOut => "no answer in time",
+            Self::Cancelled => "caller gone",
+            Self::BodyFailed => "broken body",
+        }
+    }
+
     /// Returns whether the attempt certainly had a connection, new or reused, to the target's
     /// address.
     pub(crate) fn reached_target(self) -> bool {
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -16,6 +16,7 @@
             body_budget::BodyBudget,
             connect_meter::ConnectMeter,
             link_meter::LinkMeter,
+            reach_meter::ReachMeter,
             retry_budget::{RetryBudget, RetryLimit},
             retry_pacer::RetryPacer,
             route_stats::RouteStats,
@@ -55,6 +56,8 @@
 pub struct RouterSettings {
     /// The address at which this entry listens for peers.
     pub me: SocketAddr,
+    /// The port on which all entries listen for callers.
+    pub callers_port: u16,
     /// The region of this entry.
     pub region: RegionName,
     /// The region of each failure domain.
@@ -82,6 +85,9 @@
     pub(super) body_budget: BodyBudget,
     pub(super) retry_pacer: RetryPacer,
     pub(super) connect_meter: ConnectMeter,
+    pub(super) reach_meter: ReachMeter,
+    /// The number of probes made because this entry was cut off from targets.
+    pub(super) reach_probes: usize,
     pub(super) evacuated: BTreeSet<DomainName>,
     pub(super) entries: BTreeMap<SocketAddr, InstancePlace>,
     pub(super) retry_budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -120,6 +126,8 @@
             body_budget,
             retry_pacer,
             connect_meter: ConnectMeter::default(),
+            reach_meter: ReachMeter::default(),
+            reach_probes: 0,
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
@@ -288,9 +296,13 @@
     }
 
     /// Returns the demand of this entry's callers for each service, in busy slots. The demand for a
-    /// route counts for the service chosen for its last request.
+    /// route counts for the service chosen for its last request. What is forwarded to other entries
+    /// counts there.
     pub fn local_demand(&self) -> BTreeMap<ServiceName, f32> {
         let mut demand: BTreeMap<ServiceName, f32> = BTreeMap::new();
+        if self.is_cut_off() {
+            return demand;
+        }
         for (service, stats) in self.route_stats.values() {
             *demand.entry(service.clone()).or_default() += stats.busy_slots() as f32;
         }
@@ -308,6 +320,7 @@
             budget.expire(2 * window, now);
         }
         self.update_shares(now);
+        self.update_reach(now);
         let mut probes = Vec::new();
         for (name, state) in &mut self.targets {
             if !state.info.draining && state.has_permit(now) && state.start_probe(now) {
@@ -315,6 +328,7 @@
                 probes.push(ProbeRequest { target: name.clone() });
             }
         }
+        probes.extend(self.next_reach_probe(now));
         probes
     }
 
@@ -329,6 +343,9 @@
 
     /// Applies the result of a probe: the remaining cold time, or none if the probe failed.
     pub fn finish_probe(&mut self, target: &TargetName, cold: Option<Duration>, now: Moment) {
+        if cold.is_some() {
+            self.record_connected(now);
+        }
         let Some(state) = self.targets.get_mut(target) else { return };
         if state.finish_probe(cold, now) {
             let cold_ms = cold.unwrap_or_default().as_millis() as u64;
--- a/crates/core/tests/entry_registry.rs
+++ b/crates/core/tests/entry_registry.rs
@@ -36,6 +36,7 @@
         sent_at: at(0),
         rate_limits: Vec::new(),
         rate_limits_mark: 0,
+        cut_off: false,
     };
     (peer, heartbeat)
 }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -50,6 +50,7 @@
     };
     let router = RouterSettings {
         me: peer,
+        callers_port: 80,
         region: "r".into(),
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
--- a/crates/core/tests/heartbeat_replies.rs
+++ b/crates/core/tests/heartbeat_replies.rs
@@ -30,7 +30,7 @@
 /// Number of entries of a fleet of the planned size.
 const ENTRIES: u16 = 420;
 /// Number of fields that were added to the end of heartbeats.
-const ADDED_HEARTBEAT_FIELDS: usize = 2;
+const ADDED_HEARTBEAT_FIELDS: usize = 3;
 /// Number of targets of a fleet of the planned size.
 const TARGETS: u16 = 3_000;
 
@@ -120,6 +120,7 @@
         sent_at: now,
         rate_limits: Vec::new(),
         rate_limits_mark: 0,
+        cut_off: false,
     }
 }
 
--- a/crates/core/tests/load_patterns.rs
+++ b/crates/core/tests/load_patterns.rs
@@ -71,6 +71,7 @@
     match router.dispatch(request, now) {
         DispatchDecision::Send(attempt) => Some(attempt.target),
         DispatchDecision::Refuse(_) => None,
+        DispatchDecision::Forward(attempt) => panic!("forwarded: {attempt:?}"),
     }
 }
 
@@ -294,6 +295,7 @@
         let refusal = loop {
             match router.dispatch(&mut request, at(0)) {
                 DispatchDecision::Refuse(refusal) => break refusal,
+                DispatchDecision::Forward(attempt) => panic!("forwarded: {attempt:?}"),
                 DispatchDecision::Send(attempt) => {
                     let result = AttemptResult::NotRun { load, replaced: false };
                     router.finish_attempt(
--- a/crates/core/tests/outages.rs
+++ b/crates/core/tests/outages.rs
@@ -62,6 +62,7 @@
     let region = |number| (domain(number), RegionName::from("r"));
     let settings = RouterSettings {
         me: ([10, 0, 0, number as u8], 1).into(),
+        callers_port: 80,
         region: "r".into(),
         domains: (0..3).map(region).collect(),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
@@ -88,7 +89,7 @@
 fn router_on_idle_link(number: usize) -> RequestRouter {
     let mut router = router(number);
     for number in 0..20 {
-        router.record_connect_time(&target(number), CONNECT_TIME_IDLE);
+        router.record_connect_time(&target(number), CONNECT_TIME_IDLE, at(0));
     }
     router
 }
@@ -131,7 +132,7 @@
                 timed_out_at,
             );
         } else {
-            router.record_connect_time(&attempt.target, connect_time);
+            router.record_connect_time(&attempt.target, connect_time, now);
             let result = AttemptResult::Answered { status: 200, load: None };
             router.finish_attempt(
                 &mut request,
@@ -237,7 +238,7 @@
     assert_eq!(connect_timeout(&mut router(0)), Duration::from_millis(400));
     let mut busy = router_on_idle_link(0);
     for number in 0..20 {
-        busy.record_connect_time(&target(number), CONNECT_TIME_SATURATED);
+        busy.record_connect_time(&target(number), CONNECT_TIME_SATURATED, at(0));
     }
     assert_eq!(connect_timeout(&mut busy), Duration::from_millis(400));
 }
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -193,6 +193,7 @@
     match router.dispatch(&mut request, now) {
         DispatchDecision::Send(attempt) => Some((request, attempt.target)),
         DispatchDecision::Refuse(_) => None,
+        DispatchDecision::Forward(attempt) => panic!("forwarded: {attempt:?}"),
     }
 }
 
--- a/crates/core/tests/request_router.rs
+++ b/crates/core/tests/request_router.rs
@@ -93,6 +93,7 @@
     let retry_limit = RetryLimit { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
     let settings = RouterSettings {
         me: address(me),
+        callers_port: 80,
         region: "north".into(),
         domains: domains(),
         retry_limit,
@@ -128,6 +129,7 @@
     match router.dispatch(request, now) {
         DispatchDecision::Send(attempt) => Ok(attempt.target),
         DispatchDecision::Refuse(refusal) => Err(refusal.reason),
+        DispatchDecision::Forward(attempt) => panic!("forwarded: {attempt:?}"),
     }
 }
 
@@ -208,6 +210,7 @@
     let retry_limit = RetryLimit { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
     let settings = RouterSettings {
         me: address(1),
+        callers_port: 80,
         region: "north".into(),
         domains: domains(),
         retry_limit,
@@ -238,6 +241,7 @@
     let me = address(1);
     let settings = RouterSettings {
         me,
+        callers_port: 80,
         region: "r".into(),
         domains: domains(),
         retry_limit,
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -54,6 +54,7 @@
     match router.dispatch(request, now) {
         DispatchDecision::Send(attempt) => Ok(attempt),
         DispatchDecision::Refuse(refusal) => Err(refusal.reason),
+        DispatchDecision::Forward(attempt) => panic!("forwarded: {attempt:?}"),
     }
 }
 
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -126,9 +126,18 @@
                 },
             }
         }
-        let Some(mut connection) =
-            connect(self.route_to(attempt.address), attempt.connect_timeout).await
-        else {
+        let address = self.route_to(attempt.address);
+        self.send_new(address, attempt.connect_timeout, request).await
+    }
+
+    /// Sends a request on a new connection and waits for the head of its response.
+    pub(crate) async fn send_new(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+        request: Request<AttemptBody>,
+    ) -> SendResult {
+        let Some(mut connection) = connect(address, connect_timeout).await else {
             return SendResult::NotSent;
         };
         match connection.sender.try_send_request(request).await {
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -10,6 +10,7 @@
     super::{
         connection_pool::{SendResult, TargetConnection},
         entry_shell::EntryShell,
+        peer_forwarding,
         request_body::{AttemptBody, BodyLimits, RequestBody},
         response_body::{ResponseBody, read_body, stream_body},
     },
@@ -32,7 +33,7 @@
         Body, Request, Response,
         http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header, response::Parts},
     },
-    std::{io, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout},
 };
 
@@ -49,11 +50,11 @@
 const HEADER_OVERHEAD_BYTES: u64 = 900;
 
 /// A caller's request, to be sent to one or more targets.
-struct CallerRequest {
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: RequestBody,
+pub(super) struct CallerRequest {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: RequestBody,
 }
 
 /// The memory reserved for the body of a request; released when dropped.
@@ -68,28 +69,49 @@
     }
 }
 
+/// The instance to which an attempt sends a request.
+#[derive(Clone, Copy)]
+pub(super) enum AttemptPlace<'a> {
+    /// A target.
+    Target(&'a TargetName),
+    /// Another entry, by the address at which it listens for callers.
+    Peer(SocketAddr),
+}
+
 /// An attempt in progress. If dropped before its end, it is reported as cancelled.
-struct AttemptGuard<'a> {
+pub(super) struct AttemptGuard<'a> {
     shell: &'a EntryShell,
     admitted: &'a mut AdmittedRequest,
-    target: &'a TargetName,
+    place: AttemptPlace<'a>,
     started: Moment,
     in_progress: bool,
 }
 
-impl AttemptGuard<'_> {
+impl<'a> AttemptGuard<'a> {
+    /// Begins an attempt.
+    pub(super) fn begin(
+        shell: &'a EntryShell,
+        admitted: &'a mut AdmittedRequest,
+        place: AttemptPlace<'a>,
+    ) -> Self {
+        Self { shell, admitted, place, started: shell.now(), in_progress: true }
+    }
+
     /// Reports the end of the attempt. `processing` is the time that the target took, if it
     /// answered.
-    fn finish(mut self, result: AttemptResult, processing: Option<Duration>) {
+    pub(super) fn finish(mut self, result: AttemptResult, processing: Option<Duration>) {
         self.report(result, processing);
     }
 
     fn report(&mut self, result: AttemptResult, processing: Option<Duration>) {
         self.in_progress = false;
-        let (admitted, target, started) = (&mut *self.admitted, self.target, self.started);
-        self.shell.with_state(|state, now| {
-            let elapsed = processing.unwrap_or_else(|| now.since(started));
-            state.router.finish_attempt(admitted, target, result, elapsed, now)
+        let (admitted, place, started) = (&mut *self.admitted, self.place, self.started);
+        self.shell.with_state(|state, now| match place {
+            AttemptPlace::Target(target) => {
+                let elapsed = processing.unwrap_or_else(|| now.since(started));
+                state.router.finish_attempt(admitted, target, result, elapsed, now);
+            }
+            AttemptPlace::Peer(peer) => state.router.finish_forwarding(admitted, peer, result),
         });
     }
 }
@@ -103,13 +125,13 @@
 }
 
 /// A response of a target that can be forwarded to the caller.
-struct TargetResponse {
-    parts: Parts,
-    body: Body,
+pub(super) struct TargetResponse {
+    pub parts: Parts,
+    pub body: Body,
     /// The length of the buffered part of the body, in bytes.
-    buffered_bytes: u64,
+    pub buffered_bytes: u64,
     /// Whether the rest of the body is still to come.
-    is_streamed: bool,
+    pub is_streamed: bool,
 }
 
 /// Serves a caller's request.
@@ -149,7 +171,8 @@
     };
     let body = RequestBody::new(incoming, limits, expects_continue);
     let result = match admitted {
-        Ok(admitted) => {
+        Ok(mut admitted) => {
+            admitted.is_forwarded = headers::is_forwarded(request.headers());
             let uri = request.uri().path_and_query().map(|path| Uri::from(path.clone()));
             let caller = CallerRequest {
                 method: request.method().clone(),
@@ -188,19 +211,34 @@
     let _memory = BodyMemory { shell, bytes: admitted.body_memory };
     loop {
         admitted.body_consumed = caller.body.is_consumed();
-        let attempt = match shell.with_state(|state, now| state.router.dispatch(&mut admitted, now))
-        {
-            DispatchDecision::Send(attempt) => attempt,
-            DispatchDecision::Refuse(refusal) => return Err(refusal),
+        let decision = shell.with_state(|state, now| state.router.dispatch(&mut admitted, now));
+        let response = match &decision {
+            DispatchDecision::Send(attempt) => {
+                make_attempt(shell, &mut admitted, attempt, caller).await
+            }
+            DispatchDecision::Forward(attempt) => {
+                peer_forwarding::make_attempt(shell, &mut admitted, attempt, caller).await
+            }
+            DispatchDecision::Refuse(refusal) => return Err(*refusal),
         };
-        if let Some(response) = make_attempt(shell, &mut admitted, &attempt, caller).await {
+        if let Some(response) = response {
             let status = response.parts.status.as_u16();
             let bytes = TransferredBytes {
                 body: caller.body.received_bytes(),
                 response: response.buffered_bytes + HEADER_OVERHEAD_BYTES,
             };
             shell.with_state(|state, now| {
-                state.router.finish_request(&admitted, &attempt.target, status, bytes, now);
+                let router = &mut state.router;
+                match &decision {
+                    DispatchDecision::Forward(attempt) => {
+                        let peer = attempt.address;
+                        router.finish_forwarded_request(&admitted, peer, status, bytes, now);
+                    }
+                    DispatchDecision::Send(attempt) => {
+                        router.finish_request(&admitted, &attempt.target, status, bytes, now);
+                    }
+                    DispatchDecision::Refuse(_) => {}
+                }
             });
             return Ok(response);
         }
@@ -221,21 +259,13 @@
 ) -> Option<TargetResponse> {
     let id = admitted.id.clone();
     let is_last = !admitted.may_retry();
-    let started = shell.now();
-    let guard =
-        AttemptGuard { shell, admitted, target: &attempt.target, started, in_progress: true };
+    let guard = AttemptGuard::begin(shell, admitted, AttemptPlace::Target(&attempt.target));
     let exchange = exchange(shell, attempt, caller, &id);
-    let mut outcome = match timeout(attempt.time_left, exchange).await {
+    let outcome = match timeout(attempt.time_left, exchange).await {
         Ok(outcome) => outcome,
         Err(_) => AttemptResult::TimedOut.into(),
     };
-    let is_broken =
-        matches!(outcome.result, AttemptResult::Interrupted | AttemptResult::ConnectionClosed);
-    if is_broken && caller.body.failure().is_some() {
-        // The target isn't to blame.
-        outcome.result = AttemptResult::BodyFailed;
-    }
-    let AttemptOutcome { result, response, processing } = outcome;
+    let AttemptOutcome { result, response, processing } = outcome.blame_body(&caller.body);
     guard.finish(result, processing);
     let AttemptResult::Answered { status, .. } = result else { return None };
     // A server error of the target goes to the caller only if the request can't be retried.
@@ -244,12 +274,25 @@
 }
 
 /// The outcome of an attempt.
-struct AttemptOutcome {
-    result: AttemptResult,
+pub(super) struct AttemptOutcome {
+    pub result: AttemptResult,
     /// The response that can be forwarded, if any.
-    response: Option<TargetResponse>,
+    pub response: Option<TargetResponse>,
     /// The time from when the target had the whole request to the head of its response.
-    processing: Option<Duration>,
+    pub processing: Option<Duration>,
+}
+
+impl AttemptOutcome {
+    /// Returns this outcome, or that of a failed body if the connection broke because of the
+    /// caller's body.
+    pub(super) fn blame_body(mut self, body: &RequestBody) -> Self {
+        let is_broken =
+            matches!(self.result, AttemptResult::Interrupted | AttemptResult::ConnectionClosed);
+        if is_broken && body.failure().is_some() {
+            self.result = AttemptResult::BodyFailed;
+        }
+        self
+    }
 }
 
 impl From<AttemptResult> for AttemptOutcome {
@@ -275,8 +318,9 @@
     };
     if let Some(connect_time) = connection.take_connect_time() {
         sent_at += connect_time;
-        shell
-            .with_state(|state, _| state.router.record_connect_time(&attempt.target, connect_time));
+        shell.with_state(|state, now| {
+            state.router.record_connect_time(&attempt.target, connect_time, now);
+        });
     }
     let whole_request_at = caller.body.completed_at().map_or(sent_at, |at| at.max(sent_at));
     let processing = whole_request_at.elapsed();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod forwarding;
 mod list_reader;
 mod operator_api;
+mod peer_forwarding;
 mod replica_shell;
 mod request_body;
 mod response_body;
--- /dev/null
+++ b/crates/node/src/fleet/peer_forwarding.rs
@@ -0,0 +1,101 @@
+/*!
+Attempts through another entry, made while this one is cut off from targets.
+
+The other entry serves the request like one of its own callers'. A new connection is used for each
+attempt, since another entry's idle connections say nothing about whether it still takes requests.
+*/
+
+use {
+    super::{
+        connection_pool::{SendResult, TargetConnection},
+        entry_shell::EntryShell,
+        forwarding::{AttemptGuard, AttemptOutcome, AttemptPlace, CallerRequest, TargetResponse},
+        request_body::{AttemptBody, RequestBody},
+        response_body::{ResponseBody, read_body, stream_body},
+    },
+    hemlockspool_core::traffic::request::{AdmittedRequest, AttemptResult, PeerAttempt},
+    hemlockspool_platform::headers::{self, ResponseClass},
+    hyper::{body::Incoming, http::response::Parts},
+    poem::Body,
+    tokio::time::timeout,
+};
+
+/// Forwards a request to another entry and returns the response if that goes to the caller.
+pub(super) async fn make_attempt(
+    shell: &EntryShell,
+    admitted: &mut AdmittedRequest,
+    attempt: &PeerAttempt,
+    caller: &CallerRequest,
+) -> Option<TargetResponse> {
+    let id = admitted.id.clone();
+    let guard = AttemptGuard::begin(shell, admitted, AttemptPlace::Peer(attempt.address));
+    let exchange = exchange(shell, attempt, caller, &id);
+    let outcome = match timeout(attempt.time_left, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) => AttemptResult::TimedOut.into(),
+    };
+    let AttemptOutcome { result, response, .. } = outcome.blame_body(&caller.body);
+    guard.finish(result, None);
+    response
+}
+
+async fn exchange(
+    shell: &EntryShell,
+    attempt: &PeerAttempt,
+    caller: &CallerRequest,
+    id: &str,
+) -> AttemptOutcome {
+    let request = build_request(attempt, caller);
+    let sent = shell.pool.send_new(attempt.address, attempt.connect_timeout, request).await;
+    let (head, connection) = match sent {
+        SendResult::Head(head, connection) => (head, connection),
+        SendResult::NotSent => return AttemptResult::NotSent.into(),
+        SendResult::Interrupted { .. } => return AttemptResult::Interrupted.into(),
+    };
+    let (parts, body) = head.into_parts();
+    match headers::classify_peer_response(parts.status, &parts.headers, id) {
+        ResponseClass::Untrusted => AttemptResult::Interrupted.into(),
+        ResponseClass::NotRun { load, replaced } => AttemptResult::NotRun { load, replaced }.into(),
+        ResponseClass::FromTarget { .. } => {
+            let status = parts.status.as_u16();
+            match read_response(parts, body, connection, &caller.body).await {
+                Some(response) => AttemptOutcome {
+                    result: AttemptResult::Answered { status, load: None },
+                    response: Some(response),
+                    processing: None,
+                },
+                None => AttemptResult::Interrupted.into(),
+            }
+        }
+    }
+}
+
+async fn read_response(
+    parts: Parts,
+    body: Incoming,
+    connection: TargetConnection,
+    request_body: &RequestBody,
+) -> Option<TargetResponse> {
+    Some(match read_body(body).await.ok()? {
+        ResponseBody::Complete(bytes) => TargetResponse {
+            parts,
+            buffered_bytes: bytes.len() as u64,
+            body: Body::from(bytes),
+            is_streamed: false,
+        },
+        ResponseBody::Partial(beginning, rest) => TargetResponse {
+            parts,
+            buffered_bytes: beginning.len() as u64,
+            body: stream_body(beginning, rest, connection, request_body),
+            is_streamed: true,
+        },
+    })
+}
+
+fn build_request(attempt: &PeerAttempt, caller: &CallerRequest) -> hyper::Request<AttemptBody> {
+    let mut request = hyper::Request::new(caller.body.for_attempt());
+    *request.method_mut() = caller.method.clone();
+    *request.uri_mut() = caller.uri.clone();
+    *request.headers_mut() = headers::for_peer(&caller.headers, attempt.time_left);
+    request
+}
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -70,6 +70,7 @@
     let identity = new_identity(&settings);
     let router = RouterSettings {
         me: listen_at.peers,
+        callers_port: callers.address().port(),
         region: settings.region.clone(),
         domains: settings.domains.clone(),
         retry_limit: settings.retry_limit(),
