--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -127,6 +127,11 @@
         /// The name of the target.
         target: TargetName,
     },
+    /// A target said that it leaves, before the list did; it gets no more requests.
+    TargetLeaving {
+        /// The name of the target.
+        target: TargetName,
+    },
     /// The entry has lost its connections to all targets, and forwards requests to other entries.
     TargetsUnreachable {
         /// The number of targets that couldn't be connected to, without one in between that could.
@@ -276,6 +281,7 @@
         (254, LogLevel::Warn, "a target stated something about itself that can't be used"),
         (255, LogLevel::Warn, "no target can be connected to; requests go to other entries"),
         (256, LogLevel::Info, "targets can be connected to again"),
+        (257, LogLevel::Info, "a target said that it leaves"),
         (260, LogLevel::Info, "a request was sent to a target"),
         (261, LogLevel::Info, "a request was refused without having run"),
         (262, LogLevel::Warn, "a request failed, or its outcome is unknown"),
@@ -314,6 +320,7 @@
             Self::RequestForwarded { .. } => 265,
             Self::ForwardingAnswered { .. } => 266,
             Self::ForwardingFailed { .. } => 267,
+            Self::TargetLeaving { .. } => 257,
             Self::RequestSent { .. } => 260,
             Self::RequestRefused { .. } => 261,
             Self::RequestFailed { .. } => 262,
--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -63,6 +63,11 @@
             state.malformed_logged = true;
             self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
         }
+        if notice.is_leaving && !state.info.draining {
+            // As if the list said so, which follows later.
+            state.info.draining = true;
+            self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
+        }
         // Replicas pass limits on with this precision.
         let per_s = notice.rate_limit.map(|per_s| f64::from(per_s as f32));
         state.stated_limit = Some(StatedLimit { per_s, heard_at: now });
--- a/crates/core/src/traffic/target_notice.rs
+++ b/crates/core/src/traffic/target_notice.rs
@@ -13,6 +13,8 @@
     /// The number of requests per second that the target takes from all entries together; none if
     /// it states no limit. Finite and not negative.
     pub rate_limit: Option<f64>,
+    /// Whether the target leaves, and wants no new request any more.
+    pub is_leaving: bool,
     /// Whether the response states something about the target that can't be used, which counts as
     /// not stated.
     pub is_malformed: bool,
--- a/crates/core/tests/common/routing.rs
+++ b/crates/core/tests/common/routing.rs
@@ -42,6 +42,12 @@
     };
     let mut router = RequestRouter::new(settings, at(0));
     router.set_table(&RouteTable::parse(table).unwrap());
+    router.set_targets(&target_list(slots), at(0));
+    router
+}
+
+/// Returns eight targets of the service `s`.
+pub fn target_list(slots: u32) -> TargetList {
     let target_info = |last_octet: u8| TargetInfo {
         service: "s".into(),
         address: ([10, 0, 1, last_octet], 80).into(),
@@ -50,8 +56,5 @@
         draining: false,
         cold_ms: 0,
     };
-    let list: TargetList =
-        (0..8).map(|i| (TargetName::new(&format!("t{i}")), target_info(i))).collect();
-    router.set_targets(&list, at(0));
-    router
+    (0..8).map(|i| (TargetName::new(&format!("t{i}")), target_info(i))).collect()
 }
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -136,7 +136,7 @@
             for (_, mut request, target) in due {
                 let is_limited = target.as_str() == LIMITED;
                 let rate_limit = self.limit.filter(|_| is_limited);
-                let notice = TargetNotice { rate_limit, is_malformed: false };
+                let notice = TargetNotice { rate_limit, ..TargetNotice::default() };
                 entry.router.record_notice(&target, notice, now);
                 if rate_limit.is_some() {
                     entry.told_at.get_or_insert(now_ms);
