A target's pause is kept by the entry that it turned away

The target is closed for requests and probes until then, and takes them again at its end. When no target of a service takes requests, callers are told to come back when the first one does. E258 says so. Not built: a slow start after a pause, callers spread over its end, a check right before an attempt is written. Not tried over real processes.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -132,6 +132,13 @@
         /// The name of the target.
         target: TargetName,
     },
+    /// A target turned a request away and wants none from this entry for a time.
+    TargetPaused {
+        /// The name of the target.
+        target: TargetName,
+        /// The time, in milliseconds.
+        millis: u64,
+    },
     /// The entry has lost its connections to all targets, and forwards requests to other entries.
     TargetsUnreachable {
         /// The number of targets that couldn't be connected to, without one in between that could.
@@ -282,6 +289,7 @@
         (255, LogLevel::Warn, "no target can be connected to; requests go to other entries"),
         (256, LogLevel::Info, "targets can be connected to again"),
         (257, LogLevel::Info, "a target said that it leaves"),
+        (258, LogLevel::Info, "a target wants no request for a time"),
         (260, LogLevel::Info, "a request was sent to a target"),
         (261, LogLevel::Info, "a request was refused without having run"),
         (262, LogLevel::Warn, "a request failed, or its outcome is unknown"),
@@ -321,6 +329,7 @@
             Self::ForwardingAnswered { .. } => 266,
             Self::ForwardingFailed { .. } => 267,
             Self::TargetLeaving { .. } => 257,
+            Self::TargetPaused { .. } => 258,
             Self::RequestSent { .. } => 260,
             Self::RequestRefused { .. } => 261,
             Self::RequestFailed { .. } => 262,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -221,6 +221,7 @@
         } else {
             processing_time.clamp(RETRY_AFTER_NO_CAPACITY.0, RETRY_AFTER_NO_CAPACITY.1)
         };
+        let retry_after = retry_after.max(self.time_until_open(&request.service, now));
         let retry_after = Some(retry_after);
         self.log_refusal(&request.id, reason, retry_after, request.tried_targets.len() as u32);
         RequestRefusal { reason, retry_after }
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -78,7 +78,7 @@
         }
         let usable = |name: &&TargetName| {
             let state = self.targets.get(*name);
-            state.is_some_and(|state| !state.info.draining && state.has_permit(now))
+            state.is_some_and(|state| !state.info.draining && state.is_open(now))
         };
         let count = self.targets.keys().filter(usable).count();
         self.reach_probes = self.reach_probes.wrapping_add(1);
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PlacementError {
     /// Neither the first nor the second choice among a region's available warm targets has capacity
-    /// for the request, or the rate limits of all warm targets leave this entry none now.
+    /// for the request, or none of them takes one from this entry now.
     NoCapacity,
     /// No warm target is available, and no cold one may get the request now.
     NoTarget,
@@ -108,12 +108,12 @@
             .map(|(name, state)| (affinity_score(request.key_hash, name), name, state))
             .collect();
         if ranked.is_empty() {
-            let is_limited = |name: &TargetName| {
+            let is_closed = |name: &TargetName| {
                 let state = self.targets.get(name).filter(|state| !state.is_cold(self.now));
                 state.is_some_and(|state| self.is_usable(request, name, state))
             };
-            // Targets without a permit are like full ones: they will take requests again.
-            return Err(match pool.iter().any(is_limited) {
+            // Targets that pause or have a rate limit are like full ones.
+            return Err(match pool.iter().any(is_closed) {
                 true => PlacementError::NoCapacity,
                 false => PlacementError::NoTarget,
             });
@@ -170,10 +170,10 @@
         name: &TargetName,
         state: &TargetState,
     ) -> bool {
-        self.is_usable(request, name, state) && state.has_permit(self.now)
+        self.is_usable(request, name, state) && state.is_open(self.now)
     }
 
-    /// Returns whether a target may get the request now or once its rate limit permits.
+    /// Returns whether a target may get the request now or once it takes requests again.
     fn is_usable(&self, request: &AdmittedRequest, name: &TargetName, state: &TargetState) -> bool {
         state.is_eligible()
             && !self.evacuated.contains(&state.info.domain)
--- a/crates/core/src/traffic/rate_share.rs
+++ b/crates/core/src/traffic/rate_share.rs
@@ -50,9 +50,10 @@
         Self { next_permit_at: self.next_permit_at.min(new.next_permit_at), ..new }
     }
 
-    /// Returns whether this entry may send the target a request.
-    pub(crate) fn is_ready(&self, now: Moment) -> bool {
-        self.interval.is_some() && now >= self.next_permit_at
+    /// Returns the time from which this entry may send the target a request; none if it isn't a
+    /// sender.
+    pub(crate) fn next_permit(&self) -> Option<Moment> {
+        self.interval.map(|_| self.next_permit_at)
     }
 
     /// Takes the permit for a request.
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -310,7 +310,7 @@
     }
 
     /// Updates time-dependent state; returns the probes that are due. Neither draining targets are
-    /// probed nor those whose rate limit leaves this entry no request.
+    /// probed nor those that take nothing from this entry now.
     pub fn tick(&mut self, now: Moment) -> Vec<ProbeRequest> {
         self.update_rates(now);
         self.link_meter.update(now);
@@ -323,7 +323,7 @@
         self.update_reach(now);
         let mut probes = Vec::new();
         for (name, state) in &mut self.targets {
-            if !state.info.draining && state.has_permit(now) && state.start_probe(now) {
+            if !state.info.draining && state.is_open(now) && state.start_probe(now) {
                 state.take_permit(now);
                 probes.push(ProbeRequest { target: name.clone() });
             }
--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -19,7 +19,7 @@
             target_notice::{StatedLimit, TargetNotice},
         },
     },
-    hemlockspool_model::names::TargetName,
+    hemlockspool_model::names::{ServiceName, TargetName},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -68,6 +68,12 @@
             state.info.draining = true;
             self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
         }
+        if let Some(duration) = notice.pause
+            && state.pause(duration, now)
+        {
+            let (target, millis) = (target.clone(), duration.as_millis() as u64);
+            self.log_events.push(DecisionEvent::TargetPaused { target, millis });
+        }
         // Replicas pass limits on with this precision.
         let per_s = notice.rate_limit.map(|per_s| f64::from(per_s as f32));
         state.stated_limit = Some(StatedLimit { per_s, heard_at: now });
@@ -76,6 +82,17 @@
         }
     }
 
+    /// Returns the time until the first of a service's targets takes requests from this entry again,
+    /// or zero if one does now or none will as far as is known.
+    pub(super) fn time_until_open(&self, service: &ServiceName, now: Moment) -> Duration {
+        let pools = self.pools.get(service).into_iter().flat_map(|pools| pools.values());
+        let states = pools.flatten().filter_map(|name| self.targets.get(name));
+        let usable = states
+            .filter(|state| state.is_eligible() && !self.evacuated.contains(&state.info.domain));
+        let opens_at = usable.filter_map(|state| state.closed_until(now)).min();
+        opens_at.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
     /// Applies the limits that the followed replica knows of, or its confirmation that they haven't
     /// changed.
     pub fn apply_rate_limits(&mut self, view: RateLimitView, now: Moment) {
--- a/crates/core/src/traffic/target_notice.rs
+++ b/crates/core/src/traffic/target_notice.rs
@@ -5,7 +5,7 @@
 later responses say so, and is about that target, not about its address.
 */
 
-use crate::clock::Moment;
+use {crate::clock::Moment, std::time::Duration};
 
 /// What one response of a target says about the target itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -15,6 +15,9 @@
     pub rate_limit: Option<f64>,
     /// Whether the target leaves, and wants no new request any more.
     pub is_leaving: bool,
+    /// The time for which the target wants no request from this entry, with a request that it turned
+    /// away.
+    pub pause: Option<Duration>,
     /// Whether the response states something about the target that can't be used, which counts as
     /// not stated.
     pub is_malformed: bool,
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -82,6 +82,8 @@
     pub stated_limit: Option<StatedLimit>,
     /// This entry's share in the target's rate limit, if that has one.
     pub rate_share: Option<RateShare>,
+    /// The time until which the target wants no request from this entry.
+    pub paused_until: Option<Moment>,
     /// Whether the target's malformed statements have been logged.
     pub malformed_logged: bool,
     /// The last time a connection to the target timed out while this entry's link was uncongested,
@@ -110,6 +112,7 @@
             cold_limiter: ColdLimiter::default(),
             stated_limit: None,
             rate_share: None,
+            paused_until: None,
             malformed_logged: false,
             unreachable_at: None,
             last_reached_at: None,
@@ -126,6 +129,7 @@
             self.consecutive_failures = 0;
             self.stated_limit = None;
             self.rate_share = None;
+            self.paused_until = None;
         }
         // A target that drains never accepts new requests again under the same name.
         let draining = self.info.draining || info.draining;
@@ -280,9 +284,27 @@
         self.health = TargetHealth::Ejected { until: now.after(backoff), backoff };
     }
 
-    /// Returns whether the target's rate limit, if any, leaves this entry a request now.
-    pub fn has_permit(&self, now: Moment) -> bool {
-        self.rate_share.is_none_or(|share| share.is_ready(now))
+    /// Returns the time until which the target takes nothing from this entry, because it pauses or
+    /// because of its rate limit; none if a limit leaves this entry nothing at all.
+    pub fn closed_until(&self, now: Moment) -> Option<Moment> {
+        let permit_at = match self.rate_share {
+            Some(share) => share.next_permit()?,
+            None => now,
+        };
+        Some(self.paused_until.unwrap_or(now).max(permit_at))
+    }
+
+    /// Returns whether the target takes a request from this entry now, as far as it has said.
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.closed_until(now).is_some_and(|until| now >= until)
+    }
+
+    /// Records that the target wants no request for a duration; returns whether it wanted some
+    /// before.
+    pub fn pause(&mut self, duration: Duration, now: Moment) -> bool {
+        let was_paused = self.paused_until.is_some_and(|until| now < until);
+        self.paused_until = self.paused_until.max(Some(now.after(duration)));
+        !was_paused && !duration.is_zero()
     }
 
     /// Takes the permit for a request or a probe, if the target has a rate limit.
--- a/crates/core/tests/target_notices.rs
+++ b/crates/core/tests/target_notices.rs
@@ -93,3 +93,33 @@
     assert_eq!(used, []);
     assert!(refusal.is_some_and(|refusal| refusal.reason.is_known_not_run()));
 }
+
+/// Guards against requests and probes that reach a target while it pauses, against a target that is
+/// left unused afterwards, and against callers who are told to come back before any target takes
+/// requests.
+#[test]
+fn notice_pause_is_kept() {
+    let mut router = router();
+    let pause = |millis| TargetNotice {
+        pause: Some(Duration::from_millis(millis)),
+        ..TargetNotice::default()
+    };
+    router.record_notice(&target(0), pause(2_000), at(0));
+    // A shorter pause, with the response to an earlier request, doesn't end the longer one.
+    router.record_notice(&target(0), pause(100), at(10));
+    for now_ms in (10..2_000).step_by(100) {
+        let (used, refusal) = targets_used(&mut router, at(now_ms));
+        assert!(!used.contains(&target(0)), "{now_ms} ms: the pausing target got a request");
+        assert_eq!(refusal, None);
+        assert_eq!(router.tick(at(now_ms)), []);
+    }
+    assert!(targets_used(&mut router, at(2_000)).0.contains(&target(0)), "it stays unused");
+    (0..TARGETS).for_each(|number| {
+        router.record_notice(&target(number), pause(3_000 + 100 * number as u64), at(3_000));
+    });
+    let (used, refusal) = targets_used(&mut router, at(4_000));
+    assert_eq!(used, []);
+    let refusal = refusal.unwrap();
+    assert!(refusal.reason.is_known_not_run());
+    assert_eq!(refusal.retry_after, Some(Duration::from_millis(2_000)));
+}
--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -155,7 +155,7 @@
     let response =
         response.ok().filter(|response| headers::names_target(response.headers(), &target));
     if let Some(response) = &response {
-        let notice = headers::target_notice(response.headers());
+        let notice = headers::target_notice(response.status(), response.headers());
         shell.with_state(|state, now| state.router.record_notice(&target, notice, now));
     }
     let healthy = response.filter(|response| response.status().is_success());
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -327,7 +327,7 @@
     let (parts, body) = head.into_parts();
     let class = headers::classify_response(parts.status, &parts.headers, id);
     if class.is_from_target() {
-        let notice = headers::target_notice(&parts.headers);
+        let notice = headers::target_notice(parts.status, &parts.headers);
         shell.with_state(|state, now| state.router.record_notice(&attempt.target, notice, now));
     }
     match class {
