A forwarded request with home regions goes to their entries only

The entry's own region was allowed, too; that is wrong for a caller of another region that had connected to an entry outside the homes. Found when reading. No test of its own: forward_allowed_entries_only has a home that is the entry's own region.

--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -124,15 +124,14 @@
     }
 
     /// Chooses an entry that the request hasn't been forwarded to, of this region if there is one.
-    /// Neither other regions' entries nor their targets may get a request with home regions, unless
-    /// theirs is one.
+    /// A request with home regions goes to their entries only.
     fn choose_peer(&self, request: &AdmittedRequest) -> Option<SocketAddr> {
         let homes = &request.route.homes;
         let is_local = |place: &InstancePlace| place.region == self.settings.region;
         let candidates = self.entries.iter().filter(|(peer, place)| {
             **peer != self.settings.me
                 && !request.tried_peers.contains(peer)
-                && (homes.is_empty() || is_local(place) || homes.contains(&place.region))
+                && (homes.is_empty() || homes.contains(&place.region))
         });
         let rank = |(peer, place): &(&SocketAddr, &InstancePlace)| {
             (!is_local(place), stable_hash(format!("{} {peer}", request.id).as_bytes()))
