--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -79,6 +79,7 @@
                 }
                 let Some(bound) = &listener else {
                     listener = TcpListener::bind(address).await.ok();
+                    sleep(FAULT_POLL_INTERVAL).await;
                     continue;
                 };
                 let Ok(accepted) = timeout(FAULT_POLL_INTERVAL, bound.accept()).await else {
