--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -201,9 +201,14 @@
 /// limit only in its own responses, and the limit is that of all entries together.
 #[test]
 fn rate_limit_over_all_entries() {
-    for (entries, limit, requests_per_s) in
-        [(2, 4.1, 60.0), (8, 4.1, 120.0), (8, 0.0, 120.0), (8, 40.0, 800.0), (273, 4.7, 2_000.0)]
-    {
+    for (entries, limit, requests_per_s) in [
+        (2, 4.1, 60.0),
+        (8, 4.1, 120.0),
+        (8, 1.3, 120.0),
+        (8, 0.0, 120.0),
+        (8, 40.0, 800.0),
+        (273, 4.7, 2_000.0),
+    ] {
         for seed in 0..3 {
             let mut fleet = Fleet::new(entries, limit, requests_per_s, seed);
             fleet.run_until(0, RUN_MS);
