--- a/crates/core/tests/cut_off.rs
+++ b/crates/core/tests/cut_off.rs
@@ -153,7 +153,7 @@
 }
 
 /// Guards against an entry that forwards requests although its targets can be connected to: a
-/// quarter of them are gone, all refuse some connections, or the entry's own link is saturated.
+/// quarter of them are gone, all refuse some connections or all of them for a moment, or the entry's own link is saturated.
 #[test]
 fn cut_off_not_assumed() {
     let gone = ["t2", "t5"];
@@ -162,6 +162,12 @@
     assert_eq!(first_forwarded(&mut entry, 0, connects), None);
     let (mut entry, mut rng) = (router(), Pcg32::seed_from_u64(7));
     assert_eq!(first_forwarded(&mut entry, 0, |_| (rng.random_bool(0.5), 1)), None);
+    let (mut entry, mut connections) = (router(), 0);
+    let refuses_at_first = |_: &TargetName| {
+        connections += 1;
+        (connections > 6, 1)
+    };
+    assert_eq!(first_forwarded(&mut entry, 0, refuses_at_first), None);
     for round_trip in [Some(ROUND_TRIP_SATURATED), None] {
         // The last reply before the link was saturated was fast.
         let mut entry = router();
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -227,7 +227,7 @@
 /// or when entries don't agree about which of them there are.
 #[test]
 fn rate_limit_while_entries_change() {
-    let limit = 4.1;
+    let limit = 1.3;
     for seed in 0..5 {
         let mut fleet = Fleet::new(12, limit, 150.0, seed);
         let mut now_ms = 0;
@@ -266,7 +266,8 @@
 /// that gets far less than it takes while the limit is in force.
 #[test]
 fn rate_limit_used_and_ended() {
-    for (entries, limit) in [(2, 4.1), (8, 4.1), (8, 20.0)] {
+    // With 30 entries, most send the target nothing and don't hear of the end themselves.
+    for (entries, limit) in [(2, 4.1), (8, 4.1), (30, 4.1), (8, 20.0)] {
         let mut fleet = Fleet::new(entries, limit, 400.0, 1);
         fleet.run_until(0, 20_000);
         let used = fleet.mean_rate(8_000, 20_000);
@@ -278,3 +279,15 @@
         assert!(after >= 25.0, "{entries} entries: {after} requests a second without a limit");
     }
 }
+
+/// Guards against entries that all send a request at the moment at which they hear of a limit, or
+/// take over from another entry.
+#[test]
+fn rate_limit_first_permit_after_interval() {
+    let limit = 1.0;
+    let mut fleet = Fleet::new(1, limit, 200.0, 1);
+    fleet.run_until(0, 10_000);
+    let told_ms = fleet.entries[&peer(0)].told_at.unwrap();
+    let next_ms = fleet.arrivals.iter().find(|(at_ms, _)| *at_ms > told_ms).unwrap().0;
+    assert!(next_ms >= told_ms + 1_000, "{} ms after it was told", next_ms - told_ms);
+}
