--- a/crates/core/src/traffic/target_limits.rs
+++ b/crates/core/src/traffic/target_limits.rs
@@ -16,10 +16,9 @@
         traffic::{
             rate_share::{self, RateShare},
             router::RequestRouter,
-            target_notice::{StatedLimit, TargetNotice},
         },
     },
-    hemlockspool_model::names::{ServiceName, TargetName},
+    hemlockspool_model::names::TargetName,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -56,43 +55,6 @@
 }
 
 impl RequestRouter {
-    /// Records what a target said of itself with a response of its own.
-    pub fn record_notice(&mut self, target: &TargetName, notice: TargetNotice, now: Moment) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        if notice.is_malformed && !state.malformed_logged {
-            state.malformed_logged = true;
-            self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
-        }
-        if notice.is_leaving && !state.info.draining {
-            // As if the list said so, which follows later.
-            state.info.draining = true;
-            self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
-        }
-        if let Some(duration) = notice.pause
-            && state.pause(duration, now)
-        {
-            let (target, millis) = (target.clone(), duration.as_millis() as u64);
-            self.log_events.push(DecisionEvent::TargetPaused { target, millis });
-        }
-        // Replicas pass limits on with this precision.
-        let per_s = notice.rate_limit.map(|per_s| f64::from(per_s as f32));
-        state.stated_limit = Some(StatedLimit { per_s, heard_at: now });
-        if state.rate_share.map(|share| share.per_s) != per_s {
-            self.update_share(&target.clone(), now);
-        }
-    }
-
-    /// Returns the time until the first of a service's targets takes requests from this entry again,
-    /// or zero if one does now or none will as far as is known.
-    pub(super) fn time_until_open(&self, service: &ServiceName, now: Moment) -> Duration {
-        let pools = self.pools.get(service).into_iter().flat_map(|pools| pools.values());
-        let states = pools.flatten().filter_map(|name| self.targets.get(name));
-        let usable = states
-            .filter(|state| state.is_eligible() && !self.evacuated.contains(&state.info.domain));
-        let opens_at = usable.filter_map(|state| state.closed_until(now)).min();
-        opens_at.map_or(Duration::ZERO, |at| at.since(now))
-    }
-
     /// Applies the limits that the followed replica knows of, or its confirmation that they haven't
     /// changed.
     pub fn apply_rate_limits(&mut self, view: RateLimitView, now: Moment) {
@@ -142,7 +104,7 @@
         self.entries_changed = false;
     }
 
-    fn update_share(&mut self, target: &TargetName, now: Moment) {
+    pub(super) fn update_share(&mut self, target: &TargetName, now: Moment) {
         let shared = self.shared_limits.limit_of(target);
         let is_confirmed = self.shared_limits.is_confirmed(now);
         let Some(state) = self.targets.get_mut(target) else { return };
--- a/crates/core/src/traffic/target_notice.rs
+++ b/crates/core/src/traffic/target_notice.rs
@@ -1,11 +1,16 @@
 /*!
 What a target says of itself with a response, besides its load.
 
-A target knows first that it is in need. What it says holds from the response on, for as long as its
-later responses say so, and is about that target, not about its address.
+A target knows first that it is in need. What it says is about that target, not about its address. A
+limit holds for as long as its later responses state it, a pause for its time, and that it leaves
+for good.
 */
 
-use {crate::clock::Moment, std::time::Duration};
+use {
+    crate::{clock::Moment, fleet::decision_events::DecisionEvent, traffic::router::RequestRouter},
+    hemlockspool_model::names::{ServiceName, TargetName},
+    std::time::Duration,
+};
 
 /// What one response of a target says about the target itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -29,3 +34,42 @@
     pub per_s: Option<f64>,
     pub heard_at: Moment,
 }
+
+impl RequestRouter {
+    /// Records what a target said of itself with a response of its own.
+    pub fn record_notice(&mut self, target: &TargetName, notice: TargetNotice, now: Moment) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        if notice.is_malformed && !state.malformed_logged {
+            state.malformed_logged = true;
+            self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
+        }
+        if notice.is_leaving && !state.info.draining {
+            // As if the list said so, which follows later.
+            state.info.draining = true;
+            self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
+        }
+        if let Some(duration) = notice.pause
+            && state.pause(duration, now)
+        {
+            let (target, millis) = (target.clone(), duration.as_millis() as u64);
+            self.log_events.push(DecisionEvent::TargetPaused { target, millis });
+        }
+        // Replicas pass limits on with this precision.
+        let per_s = notice.rate_limit.map(|per_s| f64::from(per_s as f32));
+        state.stated_limit = Some(StatedLimit { per_s, heard_at: now });
+        if state.rate_share.map(|share| share.per_s) != per_s {
+            self.update_share(target, now);
+        }
+    }
+
+    /// Returns the time until the first of a service's targets takes requests from this entry again,
+    /// or zero if one does now or none will as far as is known.
+    pub(super) fn time_until_open(&self, service: &ServiceName, now: Moment) -> Duration {
+        let pools = self.pools.get(service).into_iter().flat_map(|pools| pools.values());
+        let states = pools.flatten().filter_map(|name| self.targets.get(name));
+        let usable = states
+            .filter(|state| state.is_eligible() && !self.evacuated.contains(&state.info.domain));
+        let opens_at = usable.filter_map(|state| state.closed_until(now)).min();
+        opens_at.map_or(Duration::ZERO, |at| at.since(now))
+    }
+}
