Forwarded requests are admitted on a saturated link beyond callers' own

Change: a longer bound of the link's backlog for forwarded requests, and 600 ms for connections between entries.

--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -24,6 +24,9 @@
 /// priority, where 0 is the highest.
 const LINK_BACKLOG_MAX: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(200), Duration::from_millis(100)];
+/// The same for requests that another entry forwarded: longer than for callers' own, as those can
+/// turn to any other entry.
+const LINK_BACKLOG_MAX_FORWARDED: Duration = Duration::from_millis(500);
 /// The bounds of the retry delay while this entry has no route table or no targets. An entry that
 /// starts alone has a table within 0.3 s, one that starts together with all others within about
 /// 1.5 s.
@@ -61,7 +64,7 @@
         let service = self.choose_service(&route);
         self.record_arrival(&route, &service);
         let body_memory = self.reserve_body_memory(head, &route)?;
-        let reserved_bytes = match self.reserve_link(&route, head.body_bytes, now) {
+        let reserved_bytes = match self.reserve_link(&route, head, now) {
             Ok(bytes) => bytes,
             Err(backlog) => {
                 self.body_budget.release(body_memory);
@@ -96,7 +99,7 @@
             refused_with_capacity: false,
             possible_runs: 0,
             may_have_run: false,
-            is_forwarded: false,
+            is_forwarded: head.is_forwarded,
             tried_peers: Vec::new(),
             route,
         })
@@ -135,12 +138,15 @@
     fn reserve_link(
         &mut self,
         route: &ResolvedRoute,
-        body_bytes: Option<u64>,
+        head: &RequestHead<'_>,
         now: Moment,
     ) -> Result<f64, Duration> {
+        let body_bytes = head.body_bytes;
         let backlog = self.link_meter.backlog(now);
         let priority = (route.priority as usize).min(LINK_BACKLOG_MAX.len() - 1);
-        if backlog > LINK_BACKLOG_MAX[priority] {
+        let longest =
+            if head.is_forwarded { LINK_BACKLOG_MAX_FORWARDED } else { LINK_BACKLOG_MAX[priority] };
+        if backlog > longest {
             return Err(backlog);
         }
         let stats = self.route_stats.get(&route.name).map(|(_, stats)| stats);
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -25,8 +25,9 @@
 
 /// The number of entries to which one request is forwarded, one after the other.
 const PEERS_MAX: usize = 3;
-/// The timeout of a connection to another entry: several round trips to the farthest region.
-const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The timeout of a connection to another entry: longer than what waits on its link before it
+/// refuses forwarded requests.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 impl RequestRouter {
     /// Returns whether this entry has lost its connections to all targets.
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -27,6 +27,8 @@
     pub timeout: Option<Duration>,
     /// The length of the body in bytes; none if the caller doesn't state it.
     pub body_bytes: Option<u64>,
+    /// Whether another entry forwarded the request.
+    pub is_forwarded: bool,
 }
 
 /// An admitted request.
--- a/crates/core/tests/cut_off.rs
+++ b/crates/core/tests/cut_off.rs
@@ -11,7 +11,7 @@
         traffic::{
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, PeerAttempt, RefusalReason,
-                RequestHead,
+                RequestHead, RequestRefusal,
             },
             router::RequestRouter,
         },
@@ -52,6 +52,16 @@
 }
 
 fn admit(router: &mut RequestRouter, path: &str, key: u64, now: Moment) -> AdmittedRequest {
+    try_admit(router, path, key, false, now).unwrap()
+}
+
+fn try_admit(
+    router: &mut RequestRouter,
+    path: &str,
+    key: u64,
+    is_forwarded: bool,
+    now: Moment,
+) -> Result<AdmittedRequest, RequestRefusal> {
     let key = key.to_string();
     let head = RequestHead {
         id: &key,
@@ -60,8 +70,9 @@
         key: Some(&key),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded,
     };
-    router.admit(&head, now).unwrap()
+    router.admit(&head, now)
 }
 
 /// Sends requests from `from_ms` on; `connects` says whether a target can be connected to, and how
@@ -214,8 +225,7 @@
     let refusal = router.dispatch(&mut request, now);
     assert!(matches!(&refusal, DispatchDecision::Refuse(refusal)
         if refusal.reason == RefusalReason::NoTarget && refusal.retry_after.is_some()));
-    let mut request = admit(&mut router, "/look/x", 3, now);
-    request.is_forwarded = true;
+    let mut request = try_admit(&mut router, "/look/x", 3, true, now).unwrap();
     let refusal = router.dispatch(&mut request, now);
     assert!(matches!(refusal, DispatchDecision::Refuse(_)), "{refusal:?}");
 }
@@ -240,3 +250,19 @@
         }
     }
 }
+
+/// Guards against callers of cut off entries who are served less than others while the links of the
+/// entries that are left are saturated.
+#[test]
+fn forwarded_admitted_on_saturated_link() {
+    let mut router = router_with(TABLE, 4, 100_000.0);
+    let refused =
+        (0..1_000).find(|key| try_admit(&mut router, "/look/x", *key, false, at(0)).is_err());
+    assert!(refused.is_some(), "the link never counts as saturated");
+    let forwarded = try_admit(&mut router, "/look/x", 1_000, true, at(0));
+    assert!(forwarded.is_ok(), "{forwarded:?}");
+    // Its own bound holds, too.
+    let refused =
+        (0..1_000).find(|key| try_admit(&mut router, "/look/x", *key, true, at(0)).is_err());
+    assert!(refused.is_some(), "forwarded requests aren't bounded by the link");
+}
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -137,8 +137,15 @@
 
 /// Admits a request for a path, or returns the reason of the refusal.
 fn admit(entry: &mut EntryState, path: &str) -> Result<(), RefusalReason> {
-    let head =
-        RequestHead { id: "1", host: "h", path, key: None, timeout: None, body_bytes: Some(0) };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path,
+        key: None,
+        timeout: None,
+        body_bytes: Some(0),
+        is_forwarded: false,
+    };
     let admitted = entry.router.admit(&head, at(100));
     admitted.map(|_| ()).map_err(|refusal| refusal.reason)
 }
--- a/crates/core/tests/load_patterns.rs
+++ b/crates/core/tests/load_patterns.rs
@@ -58,6 +58,7 @@
         key: Some(key),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     router.admit(&head, now).map_err(|refusal| refusal.reason)
 }
@@ -419,6 +420,7 @@
             key: Some(&key),
             timeout,
             body_bytes: Some(0),
+            is_forwarded: false,
         };
         let mut request = router.admit(&head, now).unwrap();
         if let DispatchDecision::Send(attempt) = router.dispatch(&mut request, now) {
--- a/crates/core/tests/outages.rs
+++ b/crates/core/tests/outages.rs
@@ -116,6 +116,7 @@
         key: Some(&key),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     let mut request = router.admit(&head, now).unwrap();
     let mut timeouts = 0;
@@ -216,6 +217,7 @@
         key: Some("1"),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     let mut request = router.admit(&head, at(100)).unwrap();
     let DispatchDecision::Send(attempt) = router.dispatch(&mut request, at(100)) else {
@@ -295,6 +297,7 @@
         key: Some("1"),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     let mut request = router.admit(&head, at(1_100)).unwrap();
     let DispatchDecision::Send(first) = router.dispatch(&mut request, at(1_100)) else {
@@ -309,6 +312,7 @@
             key: Some(&key),
             timeout: None,
             body_bytes: Some(0),
+            is_forwarded: false,
         };
         let mut request = router.admit(&head, at(1_100)).unwrap();
         if let DispatchDecision::Send(attempt) = router.dispatch(&mut request, at(1_100)) {
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -188,7 +188,15 @@
     now: Moment,
 ) -> Option<(AdmittedRequest, TargetName)> {
     let (id, host, path) = ("1", "h", "/");
-    let head = RequestHead { id, host, path, key: Some(key), timeout: None, body_bytes: Some(0) };
+    let head = RequestHead {
+        id,
+        host,
+        path,
+        key: Some(key),
+        timeout: None,
+        body_bytes: Some(0),
+        is_forwarded: false,
+    };
     let mut request = router.admit(&head, now).ok()?;
     match router.dispatch(&mut request, now) {
         DispatchDecision::Send(attempt) => Some((request, attempt.target)),
--- a/crates/core/tests/request_router.rs
+++ b/crates/core/tests/request_router.rs
@@ -116,6 +116,7 @@
         key: Some(key),
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     router.admit(&head, now).unwrap()
 }
@@ -225,6 +226,7 @@
         key: None,
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     let refusal = router.admit(&head, at(1)).unwrap_err();
     assert_eq!(
@@ -256,6 +258,7 @@
         key: None,
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     let refusals = (0..requests).map(|_| router.admit(&head, at(5)).unwrap_err());
     refusals.map(|refusal| refusal.retry_after.unwrap()).collect()
@@ -293,6 +296,7 @@
         key: None,
         timeout: None,
         body_bytes: Some(0),
+        is_forwarded: false,
     };
     assert_eq!(router.admit(&head, at(1)).unwrap_err().reason, RefusalReason::NoRoute);
 }
--- a/crates/core/tests/target_notices.rs
+++ b/crates/core/tests/target_notices.rs
@@ -37,7 +37,15 @@
 fn admit(router: &mut RequestRouter, key: usize, now: Moment) -> AdmittedRequest {
     let key = key.to_string();
     let (id, host, path) = ("1", "h", "/look/x");
-    let head = RequestHead { id, host, path, key: Some(&key), timeout: None, body_bytes: Some(0) };
+    let head = RequestHead {
+        id,
+        host,
+        path,
+        key: Some(&key),
+        timeout: None,
+        body_bytes: Some(0),
+        is_forwarded: false,
+    };
     router.admit(&head, now).unwrap()
 }
 
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -42,7 +42,15 @@
     body_bytes: Option<u64>,
     now: Moment,
 ) -> Result<AdmittedRequest, RefusalReason> {
-    let head = RequestHead { id: "1", host: "h", path, key: Some("k"), timeout: None, body_bytes };
+    let head = RequestHead {
+        id: "1",
+        host: "h",
+        path,
+        key: Some("k"),
+        timeout: None,
+        body_bytes,
+        is_forwarded: false,
+    };
     router.admit(&head, now).map_err(|refusal| refusal.reason)
 }
 
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -159,6 +159,7 @@
             key: headers::affinity_key(request.headers()),
             timeout: headers::caller_timeout(request.headers()),
             body_bytes: incoming.size_hint().exact(),
+            is_forwarded: headers::is_forwarded(request.headers()),
         };
         shell.with_state(|state, now| {
             let limits = BodyLimits {
@@ -171,8 +172,7 @@
     };
     let body = RequestBody::new(incoming, limits, expects_continue);
     let result = match admitted {
-        Ok(mut admitted) => {
-            admitted.is_forwarded = headers::is_forwarded(request.headers());
+        Ok(admitted) => {
             let uri = request.uri().path_and_query().map(|path| Uri::from(path.clone()));
             let caller = CallerRequest {
                 method: request.method().clone(),
