An entry that is cut off from targets connects to them through replicas first

Cause: 47 of 57 entries were cut, and lookups and forwarding sent everything to the few that were left, whose links carry a part of it. Class: a detour without the capacity of the way that it replaces. Change: a connection to a target through a replica of the region (BRIDGE_MARK on the address for peers; targets on the list only), with the entry's own decisions, limits and budgets as before. It keeps its callers and is named by lookups. Forwarding to other entries, and being left out of lookups, follow if replicas don't connect either (six failures in a row), and for routes with homes. The setting bridges turns it off. Old replicas close such a connection.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -196,6 +196,8 @@
         attempt: u32,
         /// The estimated number of other requests at the target.
         load: f64,
+        /// The peer address of the replica through which it goes, if the entry is cut off.
+        bridge: Option<SocketAddr>,
         /// The time left before the request's deadline, in milliseconds.
         left_ms: u64,
         /// The version of the route table.
--- a/crates/core/src/fleet/entry.rs
+++ b/crates/core/src/fleet/entry.rs
@@ -239,8 +239,8 @@
 
     fn tick(&mut self, now: Moment) -> Vec<NodeEffect> {
         let mut effects = self.choose_replica(now);
-        if self.router.is_cut_off() != self.cut_off_sent {
-            self.cut_off_sent = self.router.is_cut_off();
+        if self.router.is_forwarding() != self.cut_off_sent {
+            self.cut_off_sent = self.router.is_forwarding();
             self.heartbeat_due = now;
             self.followed_heartbeat_due = now;
         }
@@ -346,7 +346,7 @@
             sent_at: now,
             rate_limits: self.router.recent_rate_limits(now),
             rate_limits_mark: self.router.rate_limits_mark(),
-            cut_off: self.router.is_cut_off(),
+            cut_off: self.router.is_forwarding(),
         };
         send_message(peer, FleetMessage::EntryPulse(heartbeat))
     }
@@ -448,6 +448,7 @@
         self.router.set_demand(reply.demand);
         self.router.apply_load_samples(&reply.busy, now);
         self.router.apply_outages(&reply.outages, now);
+        self.router.set_bridges(reply.bridges);
         if let Some(limits) = reply.rate_limits {
             self.router.apply_rate_limits(limits, now);
         }
--- a/crates/core/src/fleet/membership.rs
+++ b/crates/core/src/fleet/membership.rs
@@ -14,7 +14,7 @@
         consensus::{ConsensusGroup, ReplicaId, ReplicaMember},
         fleet::messages::InstancePlace,
     },
-    hemlockspool_model::names::InstanceName,
+    hemlockspool_model::names::{InstanceName, RegionName},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns whether a replica is known to be in a region.
+    pub(crate) fn is_in_region(&self, peer: SocketAddr, region: &RegionName) -> bool {
+        self.locations.get(&peer).is_some_and(|place| place.region == *region)
+    }
+
     /// Clears the times at which members were responsive, which are valid only during the
     /// leadership of this replica.
     pub(crate) fn step_down(&mut self) {
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -90,7 +90,8 @@
     pub rate_limits: Vec<RateLimitReport>,
     /// The mark of the limits that it knows ([`RateLimitView::mark`]).
     pub rate_limits_mark: u64,
-    /// Whether it can't connect to any target, and forwards requests to other entries.
+    /// Whether it can't connect to any target, not even through replicas, and forwards requests to
+    /// other entries.
     pub cut_off: bool,
 }
 
@@ -166,6 +167,9 @@
     pub outages: Vec<OutageReport>,
     /// The rate limits of targets; none while the replica may not know all of them.
     pub rate_limits: Option<RateLimitView>,
+    /// The peer addresses of the replicas through which the entry may connect to targets if it can't
+    /// itself: those of its region, or this one.
+    pub bridges: Vec<SocketAddr>,
 }
 
 /// The ready entries that reach targets, as known to a replica.
--- a/crates/core/src/fleet/replica/followers.rs
+++ b/crates/core/src/fleet/replica/followers.rs
@@ -41,6 +41,7 @@
         let current = self.is_current(now) && !self.stopping;
         let (roster, roster_age_ms) = (self.roster.version(), self.roster_age_ms(now));
         let replicas = self.replica_peers().into_iter().collect();
+        let bridges = self.bridges_for(&region);
         let view = self.refresh_follower_view(&region, now);
         let (busy, outages) = view.region_reports(&region, now);
         let rate_limits = view.rate_limits.as_ref().map(|limits| match limits.mark {
@@ -58,6 +59,7 @@
             busy,
             outages,
             rate_limits,
+            bridges,
         };
         vec![send_message(peer, FleetMessage::PulseReply(reply))]
     }
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -289,6 +289,19 @@
         members.chain(self.seeds.iter().copied()).collect()
     }
 
+    /// Returns the peer addresses of the replicas of a region, or of this one if there is none.
+    fn bridges_for(&self, region: &RegionName) -> Vec<SocketAddr> {
+        let members = self.replica.group().members().values().map(|member| member.peer);
+        let is_regional = |peer: &SocketAddr| self.membership.is_in_region(*peer, region);
+        let peers: Vec<SocketAddr> = members.filter(is_regional).collect();
+        if peers.is_empty() { vec![self.identity.peer] } else { peers }
+    }
+
+    /// Returns the addresses of the targets on the list.
+    pub fn target_addresses(&self) -> BTreeSet<SocketAddr> {
+        self.roster.targets().values().map(|info| info.address).collect()
+    }
+
     /// Asks the other replicas to be added to the group if this replica isn't a member or has lost
     /// contact with the leader.
     fn request_join(&mut self, now: Moment) -> Vec<NodeEffect> {
--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -99,6 +99,7 @@
             refused_with_capacity: false,
             possible_runs: 0,
             may_have_run: false,
+            is_bridged: false,
             is_forwarded: head.is_forwarded,
             tried_peers: Vec::new(),
             route,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -9,6 +9,7 @@
         traffic::{
             admission::{RETRY_AFTER_NO_CAPACITY, RETRY_AFTER_REFUSED_WITH_CAPACITY},
             connect_meter,
+            peer_forwarding::bridge_timeout,
             placement::{PlacementContext, PlacementError, TargetChoice, affinity_score},
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestRefusal,
@@ -20,7 +21,7 @@
         util::stable_hash,
     },
     hemlockspool_model::names::{RegionName, ServiceName, TargetName},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// The number of failed connections after which a request is given up.
@@ -68,7 +69,8 @@
         {
             return Err(exhausted);
         }
-        if self.is_cut_off() {
+        let bridge = self.choose_bridge(request);
+        if self.is_cut_off() && bridge.is_none() {
             return self.try_forward(request, now).map(DispatchDecision::Forward);
         }
         if request.failed_connects >= FAILED_CONNECTS_MAX {
@@ -84,7 +86,7 @@
         if request.delivered_attempts > 0 && !self.try_withdraw_retry(&request.service, now) {
             return Err(exhausted);
         }
-        Ok(DispatchDecision::Send(self.start_attempt(request, choice, now)))
+        Ok(DispatchDecision::Send(self.start_attempt(request, choice, bridge, now)))
     }
 
     /// Takes a retry from the budget of a service; returns whether the budget allows it.
@@ -156,6 +158,7 @@
         &mut self,
         request: &mut AdmittedRequest,
         choice: TargetChoice,
+        bridge: Option<SocketAddr>,
         now: Moment,
     ) -> TargetAttempt {
         let TargetChoice { target, load, is_cold } = choice;
@@ -173,7 +176,9 @@
         }
         request.tried_targets.push(target.clone());
         let time_left = request.deadline.since(now);
-        let new_connection = request.route.repeat.is_at_most_once();
+        // Idle connections may be from before the entry was cut off.
+        let new_connection = request.route.repeat.is_at_most_once() || bridge.is_some();
+        request.is_bridged = bridge.is_some();
         self.log_events.push(DecisionEvent::RequestSent {
             request: request.id.clone(),
             route: request.route.name.clone(),
@@ -182,13 +187,17 @@
             target: target.clone(),
             attempt: request.tried_targets.len() as u32,
             load,
+            bridge,
             left_ms: time_left.as_millis() as u64,
             version: self.table_version.unwrap_or(0),
         });
         let backlog = self.link_meter.backlog(now);
-        request.connect_timeout = self.connect_meter.timeout(is_local, time_left, backlog);
+        request.connect_timeout = match bridge {
+            Some(_) => bridge_timeout(time_left),
+            None => self.connect_meter.timeout(is_local, time_left, backlog),
+        };
         let connect_timeout = request.connect_timeout.limit;
-        TargetAttempt { target, address, connect_timeout, time_left, new_connection }
+        TargetAttempt { target, address, connect_timeout, time_left, new_connection, bridge }
     }
 
     fn refuse(
@@ -294,7 +303,9 @@
         self.update_failure_rate(request, result);
         let (link_saturated, link_uncongested) =
             (self.connect_meter.is_link_saturated(), self.connect_meter.is_link_uncongested());
-        if result == AttemptResult::NotSent && (conclusive || !timed_out) {
+        if request.is_bridged {
+            self.record_bridge(result, now);
+        } else if result == AttemptResult::NotSent && (conclusive || !timed_out) {
             self.record_unconnected(target, now);
         }
         let is_cut_off = self.is_cut_off();
@@ -307,6 +318,7 @@
             state.record_reached(now);
         }
         let ejected_for = match result {
+            AttemptResult::NotSent if request.is_bridged => None,
             AttemptResult::NotSent if timed_out && (link_saturated || !conclusive) => None,
             AttemptResult::NotSent => {
                 if timed_out && link_uncongested && !is_cut_off {
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -11,6 +11,7 @@
         clock::Moment,
         fleet::{decision_events::DecisionEvent, messages::InstancePlace},
         traffic::{
+            connect_meter::ConnectTimeout,
             request::{
                 AdmittedRequest, AttemptResult, PeerAttempt, RefusalReason, TransferredBytes,
             },
@@ -20,7 +21,7 @@
         util::stable_hash,
     },
     hemlockspool_model::names::TargetName,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
 /// The number of entries to which one request is forwarded, one after the other.
@@ -29,12 +30,74 @@
 /// refuses forwarded requests.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The number of connections through replicas that a request may fail to get.
+const BRIDGED_CONNECTS_MAX: u32 = 2;
+/// The number of failed connections through replicas, without one in between that succeeded, after
+/// which requests are forwarded to other entries.
+const FAILED_BRIDGES_MAX: u32 = 6;
+/// The time after which replicas are tried again.
+const BRIDGES_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+/// The timeout of a connection to a target through a replica: two connections, one after the other.
+const BRIDGE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Returns the timeout of a connection through a replica for a request with some time left.
+pub(super) fn bridge_timeout(time_left: Duration) -> ConnectTimeout {
+    ConnectTimeout { limit: BRIDGE_TIMEOUT.min(time_left), is_conclusive: false }
+}
+
 impl RequestRouter {
     /// Returns whether this entry has lost its connections to all targets.
     pub fn is_cut_off(&self) -> bool {
         self.reach_meter.is_cut_off()
     }
 
+    /// Returns whether this entry forwards all requests to other entries: it is cut off, and can't
+    /// connect to targets through replicas either.
+    pub fn is_forwarding(&self) -> bool {
+        self.is_cut_off() && (self.bridges.is_empty() || self.bridges_failed_at.is_some())
+    }
+
+    /// Sets the peer addresses of the replicas through which this entry may connect to targets.
+    pub fn set_bridges(&mut self, bridges: Vec<SocketAddr>) {
+        if self.settings.bridges_allowed {
+            self.bridges = bridges;
+        }
+    }
+
+    /// Chooses the replica through which to connect to targets, if this entry is cut off. A request
+    /// with home regions isn't sent through one, as that may be elsewhere.
+    pub(super) fn choose_bridge(&self, request: &AdmittedRequest) -> Option<SocketAddr> {
+        let usable = self.is_cut_off()
+            && !self.is_forwarding()
+            && request.route.homes.is_empty()
+            && request.failed_connects < BRIDGED_CONNECTS_MAX;
+        if !usable {
+            return None;
+        }
+        let hash = stable_hash(request.id.as_bytes()).wrapping_add(request.failed_connects.into());
+        Some(self.bridges[hash as usize % self.bridges.len()])
+    }
+
+    /// Records the result of an attempt through a replica.
+    pub(super) fn record_bridge(&mut self, result: AttemptResult, now: Moment) {
+        if result == AttemptResult::NotSent {
+            self.failed_bridges += 1;
+        } else if result.reached_target() {
+            self.failed_bridges = 0;
+        }
+        if self.failed_bridges >= FAILED_BRIDGES_MAX {
+            self.failed_bridges = 0;
+            self.bridges_failed_at = Some(now);
+        }
+    }
+
+    /// Tries replicas again after a while if connections through them failed.
+    pub(super) fn update_bridges(&mut self, now: Moment) {
+        if self.bridges_failed_at.is_some_and(|at| now.since(at) >= BRIDGES_RETRY_DELAY) {
+            self.bridges_failed_at = None;
+        }
+    }
+
     /// Records a reply of the followed replica, and the time since its heartbeat was sent.
     pub fn record_reply(&mut self, elapsed: Duration, now: Moment) {
         self.reach_meter.record_reply(elapsed, now);
@@ -43,8 +106,14 @@
     /// Records a new connection to a target, which ends a time of being cut off.
     pub(super) fn record_connected(&mut self, now: Moment) {
         let Some((failed, duration)) = self.reach_meter.record_success(now) else { return };
-        // The targets were ejected for a fault of this entry's links.
-        for name in &failed {
+        self.restore_targets(&failed);
+        let millis = duration.as_millis() as u64;
+        self.log_events.push(DecisionEvent::TargetsReached { millis });
+    }
+
+    /// Ends the ejection of targets that were ejected for a fault of this entry's links.
+    fn restore_targets(&mut self, names: &BTreeSet<TargetName>) {
+        for name in names {
             if let Some(state) = self.targets.get_mut(name)
                 && state.health != TargetHealth::Replaced
             {
@@ -52,8 +121,6 @@
                 state.consecutive_failures = 0;
             }
         }
-        let millis = duration.as_millis() as u64;
-        self.log_events.push(DecisionEvent::TargetsReached { millis });
     }
 
     /// Records a target that couldn't be connected to for a reason that isn't this entry's load.
@@ -69,6 +136,8 @@
         let Some(failed) = self.reach_meter.start_cut_off(known, now) else { return };
         // The reports would eject targets at entries that reach them.
         self.targets.values_mut().for_each(|state| state.unreachable_at = None);
+        let names = self.reach_meter.failed_targets().clone();
+        self.restore_targets(&names);
         self.log_events.push(DecisionEvent::TargetsUnreachable { failed });
     }
 
--- a/crates/core/src/traffic/reach_meter.rs
+++ b/crates/core/src/traffic/reach_meter.rs
@@ -40,6 +40,11 @@
         self.cut_off_since.is_some()
     }
 
+    /// Returns the targets that couldn't be connected to since the last successful connection.
+    pub(crate) fn failed_targets(&self) -> &BTreeSet<TargetName> {
+        &self.failed
+    }
+
     /// Records the time from a heartbeat to its reply.
     pub(crate) fn record_reply(&mut self, elapsed: Duration, now: Moment) {
         self.last_reply = Some((now, elapsed));
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -71,6 +71,8 @@
     pub(crate) possible_runs: u32,
     /// Whether a target may have run it.
     pub may_have_run: bool,
+    /// Whether its last attempt was made through a replica.
+    pub(crate) is_bridged: bool,
     /// Whether another entry forwarded it to this one.
     pub is_forwarded: bool,
     /// The peer addresses of the entries to which this one forwarded it.
@@ -100,6 +102,8 @@
     pub time_left: Duration,
     /// Whether the attempt needs a new connection instead of an idle one.
     pub new_connection: bool,
+    /// The peer address of the replica through which to connect, if this entry is cut off.
+    pub bridge: Option<SocketAddr>,
 }
 
 /// An attempt to be made through another entry.
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -58,6 +58,8 @@
     pub me: SocketAddr,
     /// The port on which all entries listen for callers.
     pub callers_port: u16,
+    /// Whether this entry may connect to targets through replicas when it can't itself.
+    pub bridges_allowed: bool,
     /// The region of this entry.
     pub region: RegionName,
     /// The region of each failure domain.
@@ -86,6 +88,12 @@
     pub(super) retry_pacer: RetryPacer,
     pub(super) connect_meter: ConnectMeter,
     pub(super) reach_meter: ReachMeter,
+    /// The peer addresses of the replicas through which this entry may connect to targets.
+    pub(super) bridges: Vec<SocketAddr>,
+    /// The number of connections through replicas that failed, since the last that succeeded.
+    pub(super) failed_bridges: u32,
+    /// The time at which connections through replicas were given up.
+    pub(super) bridges_failed_at: Option<Moment>,
     /// The number of probes made because this entry was cut off from targets.
     pub(super) reach_probes: usize,
     pub(super) evacuated: BTreeSet<DomainName>,
@@ -127,6 +135,9 @@
             retry_pacer,
             connect_meter: ConnectMeter::default(),
             reach_meter: ReachMeter::default(),
+            bridges: Vec::new(),
+            failed_bridges: 0,
+            bridges_failed_at: None,
             reach_probes: 0,
             evacuated: BTreeSet::new(),
             entries: BTreeMap::new(),
@@ -300,7 +311,7 @@
     /// counts there.
     pub fn local_demand(&self) -> BTreeMap<ServiceName, f32> {
         let mut demand: BTreeMap<ServiceName, f32> = BTreeMap::new();
-        if self.is_cut_off() {
+        if self.is_forwarding() {
             return demand;
         }
         for (service, stats) in self.route_stats.values() {
@@ -321,6 +332,7 @@
         }
         self.update_shares(now);
         self.update_reach(now);
+        self.update_bridges(now);
         let mut probes = Vec::new();
         for (name, state) in &mut self.targets {
             if !state.info.draining && state.is_open(now) && state.start_probe(now) {
--- a/crates/core/tests/common/routing.rs
+++ b/crates/core/tests/common/routing.rs
@@ -34,6 +34,7 @@
     let settings = RouterSettings {
         me,
         callers_port: 80,
+        bridges_allowed: true,
         region: "r".into(),
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -51,6 +51,7 @@
     let router = RouterSettings {
         me: peer,
         callers_port: 80,
+        bridges_allowed: true,
         region: "r".into(),
         domains: BTreeMap::from([("d".into(), "r".into())]),
         retry_limit: RetryLimit { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
@@ -122,6 +123,7 @@
         busy: Vec::new(),
         outages: Vec::new(),
         rate_limits: None,
+        bridges: Vec::new(),
     })
 }
 
--- a/crates/core/tests/outages.rs
+++ b/crates/core/tests/outages.rs
@@ -63,6 +63,7 @@
     let settings = RouterSettings {
         me: ([10, 0, 0, number as u8], 1).into(),
         callers_port: 80,
+        bridges_allowed: true,
         region: "r".into(),
         domains: (0..3).map(region).collect(),
         retry_limit: RetryLimit { ratio: 0.2, slack: 400.0, window: Duration::from_secs(10) },
--- a/crates/core/tests/request_router.rs
+++ b/crates/core/tests/request_router.rs
@@ -94,6 +94,7 @@
     let settings = RouterSettings {
         me: address(me),
         callers_port: 80,
+        bridges_allowed: true,
         region: "north".into(),
         domains: domains(),
         retry_limit,
@@ -212,6 +213,7 @@
     let settings = RouterSettings {
         me: address(1),
         callers_port: 80,
+        bridges_allowed: true,
         region: "north".into(),
         domains: domains(),
         retry_limit,
@@ -244,6 +246,7 @@
     let settings = RouterSettings {
         me,
         callers_port: 80,
+        bridges_allowed: true,
         region: "r".into(),
         domains: domains(),
         retry_limit,
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -9,7 +9,7 @@
 
 use {
     super::request_body::AttemptBody,
-    crate::peer_link::set_unacked_timeout,
+    crate::{bridge, peer_link::set_unacked_timeout},
     hemlockspool_core::traffic::request::TargetAttempt,
     hemlockspool_model::names::TargetName,
     hyper::{
@@ -126,8 +126,13 @@
                 },
             }
         }
-        let address = self.route_to(attempt.address);
-        self.send_new(address, attempt.connect_timeout, request).await
+        let limit = attempt.connect_timeout;
+        let connection = match attempt.bridge {
+            // A tunnel of this entry means nothing to the replica.
+            Some(bridge) => connect(attempt.address, limit, Some(self.route_to(bridge))).await,
+            None => connect(self.route_to(attempt.address), limit, None).await,
+        };
+        send_on(connection, request).await
     }
 
     /// Sends a request on a new connection and waits for the head of its response.
@@ -137,16 +142,7 @@
         connect_timeout: Duration,
         request: Request<AttemptBody>,
     ) -> SendResult {
-        let Some(mut connection) = connect(address, connect_timeout).await else {
-            return SendResult::NotSent;
-        };
-        match connection.sender.try_send_request(request).await {
-            Ok(head) => SendResult::Head(head, connection),
-            Err(mut error) => match error.take_message() {
-                Some(_) => SendResult::NotSent,
-                None => SendResult::Interrupted { reused: false },
-            },
-        }
+        send_on(connect(address, connect_timeout, None).await, request).await
     }
 
     fn take_idle(&self, attempt: &TargetAttempt) -> Option<TargetConnection> {
@@ -217,9 +213,34 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Option<TargetConnection> {
+/// Sends a request on a new connection, if there is one, and waits for the head of its response.
+async fn send_on(
+    connection: Option<TargetConnection>,
+    request: Request<AttemptBody>,
+) -> SendResult {
+    let Some(mut connection) = connection else {
+        return SendResult::NotSent;
+    };
+    match connection.sender.try_send_request(request).await {
+        Ok(head) => SendResult::Head(head, connection),
+        Err(mut error) => match error.take_message() {
+            Some(_) => SendResult::NotSent,
+            None => SendResult::Interrupted { reused: false },
+        },
+    }
+}
+
+/// Connects to an address, through the replica at the peer address `bridge` if there is one.
+async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    bridge: Option<SocketAddr>,
+) -> Option<TargetConnection> {
     let started = Instant::now();
-    let stream = timeout(limit, TcpStream::connect(address)).await;
+    let stream = match bridge {
+        Some(replica) => timeout(limit, bridge::connect_through(replica, address)).await,
+        None => timeout(limit, TcpStream::connect(address)).await,
+    };
     let stream = stream.ok()?.ok()?;
     let connect_time = Some(started.elapsed());
     set_unacked_timeout(&stream, UNACKED_TIMEOUT);
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -318,9 +318,11 @@
     };
     if let Some(connect_time) = connection.take_connect_time() {
         sent_at += connect_time;
-        shell.with_state(|state, now| {
-            state.router.record_connect_time(&attempt.target, connect_time, now);
-        });
+        if attempt.bridge.is_none() {
+            shell.with_state(|state, now| {
+                state.router.record_connect_time(&attempt.target, connect_time, now);
+            });
+        }
     }
     let whole_request_at = caller.body.completed_at().map_or(sent_at, |at| at.max(sent_at));
     let processing = whole_request_at.elapsed();
--- a/crates/node/src/fleet/replica_shell.rs
+++ b/crates/node/src/fleet/replica_shell.rs
@@ -49,7 +49,7 @@
     pub settings: FleetSettings,
     /// The metrics.
     pub metrics: Arc<FleetMetrics>,
-    parts: ReplicaShellParts,
+    pub parts: ReplicaShellParts,
     locked: Mutex<LockedState>,
     last_ticket: AtomicU64,
 }
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -71,6 +71,7 @@
     let router = RouterSettings {
         me: listen_at.peers,
         callers_port: callers.address().port(),
+        bridges_allowed: settings.bridges.unwrap_or(true),
         region: settings.region.clone(),
         domains: settings.domains.clone(),
         retry_limit: settings.retry_limit(),
--- a/crates/node/src/fleet/run_replica.rs
+++ b/crates/node/src/fleet/run_replica.rs
@@ -46,6 +46,8 @@
 
 /// The interval of the reducer's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// The interval at which the targets that entries may connect to through a replica are updated.
+const BRIDGE_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 /// The time that a stopping replica keeps running to transfer leadership and send responses.
 const STOP_DELAY: Duration = Duration::from_millis(1_500);
 /// The longest time that a stopping replica then waits for requests in flight.
@@ -262,10 +264,16 @@
 }
 
 async fn tick(shell: Arc<ReplicaShell>) {
+    let mut bridges_due = Instant::now();
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
         shell.apply(ReplicaEvent::Tick);
+        if bridges_due <= Instant::now() {
+            bridges_due = Instant::now() + BRIDGE_UPDATE_INTERVAL;
+            let addresses = shell.read(|state, _| state.target_addresses());
+            shell.parts.links.bridge_targets.set(addresses);
+        }
     }
 }
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -61,6 +61,8 @@
     /// Addresses to connect to in place of peers' and targets' addresses, such as the local end of a
     /// tunnel.
     pub tunnels: Option<BTreeMap<SocketAddr, SocketAddr>>,
+    /// Whether an entry that can't connect to targets may do so through replicas; true by default.
+    pub bridges: Option<bool>,
     /// The grace period within which a process must exit after it was asked to stop.
     pub grace: TextDuration,
 }
--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -8,6 +8,7 @@
 */
 
 use {
+    crate::bridge::{self, BRIDGE_MARK, BridgeTargets},
     bytes::{BufMut, Bytes, BytesMut},
     futures_util::future::select_ok,
     hemlockspool_core::wire::PeerEnvelope,
@@ -70,6 +71,8 @@
     queues: Mutex<BTreeMap<SocketAddr, Sender<Bytes>>>,
     /// Addresses to connect to in place of the peers' own.
     tunnels: BTreeMap<SocketAddr, SocketAddr>,
+    /// The targets that peers may connect to through this instance.
+    pub bridge_targets: BridgeTargets,
 }
 
 impl PeerLinks {
@@ -86,8 +89,9 @@
     ) -> Result<Self, LinkListenError> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| LinkListenError { address, source })?;
-        tokio::spawn(accept(listener, inbox));
-        Ok(Self { queues: Mutex::default(), tunnels })
+        let bridge_targets = BridgeTargets::default();
+        tokio::spawn(accept(listener, inbox, bridge_targets.clone()));
+        Ok(Self { queues: Mutex::default(), tunnels, bridge_targets })
     }
 
     /// Queues a message for a peer, or drops it if the queue is full.
@@ -114,11 +118,15 @@
 }
 
 /// Accepts connections and starts a reader for each.
-async fn accept(listener: TcpListener, inbox: UnboundedSender<PeerEnvelope>) {
+async fn accept(
+    listener: TcpListener,
+    inbox: UnboundedSender<PeerEnvelope>,
+    bridge_targets: BridgeTargets,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(read_messages(stream, inbox.clone()));
+                tokio::spawn(read_messages(stream, inbox.clone(), bridge_targets.clone()));
             }
             Err(_) => sleep(RECONNECT_BACKOFF).await,
         }
@@ -126,9 +134,16 @@
 }
 
 /// Reads messages until the sender closes the connection, sends nothing for too long, or sends a
-/// message that is too large or can't be decoded.
-async fn read_messages(mut stream: TcpStream, inbox: UnboundedSender<PeerEnvelope>) {
+/// message that is too large or can't be decoded; or serves the connection as a bridge to a target.
+async fn read_messages(
+    mut stream: TcpStream,
+    inbox: UnboundedSender<PeerEnvelope>,
+    bridge_targets: BridgeTargets,
+) {
     while let Ok(Ok(length)) = timeout(2 * IDLE_TIMEOUT, stream.read_u32_le()).await {
+        if length == BRIDGE_MARK {
+            return bridge::serve(stream, bridge_targets).await;
+        }
         if length as usize > MESSAGE_BYTES_MAX {
             return;
         }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -41,6 +41,8 @@
     pub list_address: SocketAddr,
     /// Whether connections to peer addresses go through fault proxies.
     pub proxied: bool,
+    /// Whether entries may connect to targets through replicas.
+    pub bridges: bool,
     /// Addresses of targets that entries connect to through fault proxies.
     pub proxied_targets: Vec<SocketAddr>,
 }
@@ -213,7 +215,8 @@
                 "data_folder": node.data,
                 "target_list": { "address": self.plan.list_address, "calls_per_s": 40.0 },
                 "repeats": { "ratio": 0.2, "slack": 50.0, "window": "10s" },
-                "link_mbps": 1000.0, "tunnels": tunnels, "grace": "6s",
+                "link_mbps": 1000.0, "tunnels": tunnels, "bridges": self.plan.bridges,
+                "grace": "6s",
             });
             fs::write(&node.settings, settings.to_string()).unwrap();
         }
