--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -139,14 +139,15 @@
         /// The time, in milliseconds.
         millis: u64,
     },
-    /// The entry has lost its connections to all targets, and forwards requests to other entries.
+    /// The entry has lost its connections to all targets; requests go through replicas or other
+    /// entries.
     TargetsUnreachable {
         /// The number of targets that couldn't be connected to, without one in between that could.
         failed: usize,
     },
     /// The entry can connect to targets again.
     TargetsReached {
-        /// The time for which it forwarded requests, in milliseconds.
+        /// The time for which none could be connected to, in milliseconds.
         millis: u64,
     },
     /// A request is about to be forwarded to another entry.
@@ -288,7 +289,11 @@
         (252, LogLevel::Warn, "a target stated a limit on its requests"),
         (253, LogLevel::Info, "a target's limit on its requests ended"),
         (254, LogLevel::Warn, "a target stated something about itself that can't be used"),
-        (255, LogLevel::Warn, "no target can be connected to; requests go to other entries"),
+        (
+            255,
+            LogLevel::Warn,
+            "no target can be connected to; requests go through replicas or other entries",
+        ),
         (256, LogLevel::Info, "targets can be connected to again"),
         (257, LogLevel::Info, "a target said that it leaves"),
         (258, LogLevel::Info, "a target wants no request for a time"),
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -1,9 +1,11 @@
 /*!
-Requests that an entry without connections to targets forwards to other entries.
+Ways around the lost connections of an entry that is cut off from targets.
 
-Such an entry still has callers: those who looked up entries before, and those whose connections are
-open. A peer treats a forwarded request like one of its own callers', but never forwards it again,
-so that requests don't circle between entries that are all cut off.
+Such an entry still has its callers, and a link of its own to carry their requests. It connects to
+targets through replicas of its region, which passes only bytes through them. If that fails too, it
+forwards requests to other entries, whose links must carry them in addition to those of their own
+callers. A peer treats a forwarded request like one of its own callers', but never forwards it
+again, so that requests don't circle between entries that are all cut off.
 */
 
 use {
--- a/crates/core/tests/cut_off.rs
+++ b/crates/core/tests/cut_off.rs
@@ -266,3 +266,41 @@
         (0..1_000).find(|key| try_admit(&mut router, "/look/x", *key, true, at(0)).is_err());
     assert!(refused.is_some(), "forwarded requests aren't bounded by the link");
 }
+
+/// Guards against requests that are forwarded to other entries although replicas connect to
+/// targets, against requests with homes that a replica elsewhere carries, and against replicas that
+/// are tried for every request while none of them connects.
+#[test]
+fn bridge_before_forwarding() {
+    let (mut router, now_ms) = router_cut_off();
+    let now = at(now_ms);
+    router.set_bridges(vec![peer(50), peer(51)]);
+    assert!(!router.is_forwarding());
+    let mut request = admit(&mut router, "/home/x", 1, now);
+    forwarded(router.dispatch(&mut request, now));
+    let mut bridges = Vec::new();
+    for key in 0..6 {
+        let mut request = admit(&mut router, "/look/x", key, now);
+        let DispatchDecision::Send(attempt) = router.dispatch(&mut request, now) else {
+            panic!("request {key} isn't sent through a replica");
+        };
+        assert!(attempt.new_connection, "an idle connection may be from before the cut");
+        bridges.extend(attempt.bridge);
+        let elapsed = Duration::from_millis(1);
+        let result = AttemptResult::NotSent;
+        router.finish_attempt(&mut request, &attempt.target, result, elapsed, now);
+    }
+    assert_eq!(bridges.len(), 6);
+    assert!([peer(50), peer(51)].iter().all(|replica| bridges.contains(replica)), "{bridges:?}");
+    assert!(router.is_forwarding());
+    let mut request = admit(&mut router, "/look/x", 7, now);
+    forwarded(router.dispatch(&mut request, now));
+    // Replicas are tried again after a while, and no target was ejected for their failures.
+    let later = at(now_ms + 2_500);
+    router.tick(later);
+    for key in 10..30 {
+        let mut request = admit(&mut router, "/look/x", key, later);
+        let decision = router.dispatch(&mut request, later);
+        assert!(matches!(&decision, DispatchDecision::Send(attempt) if attempt.bridge.is_some()));
+    }
+}
