--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -85,8 +85,8 @@
     pub outages: Vec<OutageReport>,
     /// The sender's clock at the time of sending; returned in the reply.
     pub sent_at: Moment,
-    /// What targets lately stated to the entry about their rate limits. Instances before this field
-    /// was added send neither this one nor those after it; see [`PeerEnvelope`](crate::wire::PeerEnvelope).
+    /// What targets lately stated to the entry about their rate limits. Older instances send neither
+    /// this field nor those after it; see [`PeerEnvelope`](crate::wire::PeerEnvelope).
     pub rate_limits: Vec<RateLimitReport>,
     /// The mark of the limits that it knows ([`RateLimitView::mark`]).
     pub rate_limits_mark: u64,
