Targets that a request ends in quick succession count as several ends

Ends within 0.25 s of the last that counted passed for simultaneous ones, so each burst was one end and the quarantine began with the third burst.

Reports now have the time from sending the request to the end. An end counts if its request was sent 50 ms or more after the last end that counted; without that time the 0.25 s hold. The times stand in fields at the end of heartbeats, replies and the stored form, where older builds pass over them.

--- a/crates/core/src/fleet/crash_tracker.rs
+++ b/crates/core/src/fleet/crash_tracker.rs
@@ -29,9 +29,13 @@
 /// The number of ends, one after the other, after which a request is quarantined. With fewer,
 /// requests that ran beside the cause would be, too.
 const CRASHES_MIN: usize = 3;
-/// The shortest time between two ends of targets that count. Many targets may end at the same moment
-/// for one reason, under the same read of many callers, and reports differ by their way.
+/// The shortest time between two ends of targets that count if the request was sent to the second
+/// before the first ended. Many targets may end at the same moment for one reason, under the same
+/// read of many callers, and reports differ by their way.
 const CRASH_SEPARATION: Duration = Duration::from_millis(250);
+/// The shortest time from an end of a target to sending the request to another one whose end counts
+/// as well: about the difference between the ways of reports.
+const SEND_SEPARATION: Duration = Duration::from_millis(50);
 /// The number of crashes of a request that are remembered.
 const CRASHES_MAX: usize = 8;
 /// The duration of the first quarantine; it doubles with each further crash.
@@ -49,18 +53,39 @@
 /// The maximum number of crashes and answers in a message: at most 2 KB.
 const REPORTS_MAX: usize = 64;
 
+/// The end of a target under a request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct TargetEnd {
+    at: Moment,
+    /// The hash of the target's name.
+    target: u32,
+    /// The time from sending the request to the end, in milliseconds, if it is known.
+    run_ms: Option<u32>,
+}
+
+impl TargetEnd {
+    /// Returns whether this end counts beside an earlier one that does.
+    fn is_separate(&self, last: Moment) -> bool {
+        let is_sent_later = self.run_ms.is_some_and(|run_ms| {
+            let since_last = self.at.since(last);
+            since_last >= SEND_SEPARATION + Duration::from_millis(u64::from(run_ms))
+        });
+        is_sent_later || self.at.since(last) >= CRASH_SEPARATION
+    }
+}
+
 /// What is known of one caller's request.
 #[derive(Clone, Debug, Default)]
 struct RequestRecord {
-    /// The hash of each target that ended, and the time of its end.
-    crashes: Vec<(u32, Moment)>,
+    /// The ends of targets, in the order of their times.
+    crashes: Vec<TargetEnd>,
     /// The last time that a target answered.
     answered_at: Option<Moment>,
 }
 
 impl RequestRecord {
     fn last_crash(&self) -> Option<Moment> {
-        self.crashes.iter().map(|(_, at)| *at).max()
+        self.crashes.last().map(|end| end.at)
     }
 
     fn is_expired(&self, now: Moment) -> bool {
@@ -121,17 +146,27 @@
         self.same_content(request).filter_map(|(_, record)| record.answered_at).max()
     }
 
-    /// Records that a target ended while it ran a request.
-    pub fn record_crash(&mut self, request: RequestFingerprint, target: u32, at: Moment) {
+    /// Records that a target ended while it ran a request, and for how long it had, if that is known.
+    pub fn record_crash(
+        &mut self,
+        request: RequestFingerprint,
+        target: u32,
+        at: Moment,
+        run_ms: Option<u32>,
+    ) {
         let record = self.records.entry(request).or_default();
-        let is_known = record.crashes.iter().any(|(known, known_at)| {
-            *known == target && at.since(*known_at).max(known_at.since(at)) < SAME_CRASH_TIME
+        let known = record.crashes.iter_mut().find(|end| {
+            end.target == target && at.since(end.at).max(end.at.since(at)) < SAME_CRASH_TIME
         });
-        if is_known || record.answered_at.is_some_and(|answered_at| at < answered_at) {
+        if let Some(end) = known {
+            end.run_ms = end.run_ms.max(run_ms);
             return;
         }
-        record.crashes.push((target, at));
-        record.crashes.sort_unstable_by_key(|(_, at)| *at);
+        if record.answered_at.is_some_and(|answered_at| at < answered_at) {
+            return;
+        }
+        record.crashes.push(TargetEnd { at, target, run_ms });
+        record.crashes.sort_unstable();
         if record.crashes.len() > CRASHES_MAX {
             remove_closest(&mut record.crashes);
         }
@@ -142,16 +177,19 @@
     pub fn record_answer(&mut self, request: RequestFingerprint, at: Moment) {
         let record = self.records.entry(request).or_default();
         record.answered_at = record.answered_at.max(Some(at));
-        record.crashes.retain(|(_, crashed_at)| *crashed_at > at);
+        record.crashes.retain(|end| end.at > at);
         self.limit_size(&request);
     }
 
     /// Applies the reports of another instance.
-    pub fn merge(&mut self, reports: &[CrashReport], now: Moment) {
+    pub fn merge<I>(&mut self, reports: I, now: Moment)
+    where
+        I: IntoIterator<Item = CrashReport>,
+    {
         for report in reports {
             let at = Moment(now.0.saturating_sub(u64::from(report.age_ms) * 1_000));
             match report.target {
-                Some(target) => self.record_crash(report.request, target, at),
+                Some(target) => self.record_crash(report.request, target, at, report.run_ms),
                 None => self.record_answer(report.request, at),
             }
         }
@@ -168,19 +206,18 @@
             return None;
         }
         let own = self.records.get(request).map_or(&[][..], |record| &record.crashes);
-        let own = quarantine_of(own.iter().map(|(_, at)| *at));
+        let own = quarantine_of(own.iter().copied());
         let records = || self.same_content(request).map(|(_, record)| record);
         let answered_at = self.last_answer(request);
-        let is_later = |(_, at): &&(u32, Moment)| answered_at.is_none_or(|answer| *at > answer);
-        let callers =
-            records().filter(|record| record.crashes.iter().any(|crash| is_later(&crash)));
+        let is_later = |end: &&TargetEnd| answered_at.is_none_or(|answer| end.at > answer);
+        let callers = records().filter(|record| record.crashes.iter().any(|end| is_later(&end)));
         let callers = callers.count();
-        let mut times: Vec<Moment> = (records())
+        let mut ends: Vec<TargetEnd> = (records())
             .flat_map(|record| record.crashes.iter().filter(is_later))
-            .map(|(_, at)| *at)
+            .copied()
             .collect();
-        times.sort_unstable();
-        let shared = quarantine_of(times).filter(|_| callers > 1);
+        ends.sort_unstable();
+        let shared = quarantine_of(ends).filter(|_| callers > 1);
         own.into_iter().chain(shared).max_by_key(|quarantine| quarantine.trial_at)
     }
 
@@ -189,17 +226,15 @@
         if self.records.is_empty() {
             return 0;
         }
-        let items: Vec<_> = self.selected().map(|(request, target, _)| (request, target)).collect();
+        let items: Vec<_> =
+            self.selected(Moment::default()).map(|item| (item.request, item.target)).collect();
         stable_hash(format!("{items:?}").as_bytes())
     }
 
     /// Returns the crashes and answers to send to other instances: those of the requests with the
     /// most crashes.
     pub fn view(&self, now: Moment) -> CrashView {
-        let report = |(request, target, at): (RequestFingerprint, Option<u32>, Moment)| {
-            CrashReport { request, target, age_ms: now.since(at).as_millis() as u32 }
-        };
-        CrashView { mark: self.mark(), reports: self.selected().map(report).collect() }
+        CrashView { mark: self.mark(), reports: self.selected(now).collect() }
     }
 
     /// Returns the crashes of the requests that are quarantined, for storage.
@@ -207,27 +242,29 @@
         let quarantined =
             self.records.iter().filter(|(request, _)| self.quarantine(request).is_some());
         let crashes = quarantined.flat_map(|(request, record)| {
-            let report = |(target, at): &(u32, Moment)| CrashReport {
-                request: *request,
-                target: Some(*target),
-                age_ms: now.since(*at).as_millis() as u32,
-            };
-            record.crashes.iter().map(report)
+            record.crashes.iter().map(|end| crash_report(*request, end, now))
         });
         crashes.collect()
     }
 
-    /// The selection doesn't depend on times, which differ between instances.
-    fn selected(&self) -> impl Iterator<Item = (RequestFingerprint, Option<u32>, Moment)> {
+    /// Returns the reports of the requests with the most crashes. Which they are, and their order,
+    /// doesn't depend on times, which differ between instances.
+    fn selected(&self, now: Moment) -> impl Iterator<Item = CrashReport> {
         let mut requests: Vec<(&RequestFingerprint, &RequestRecord)> =
             self.records.iter().collect();
         requests
             .sort_by_key(|(request, record)| (std::cmp::Reverse(record.crashes.len()), **request));
-        let items = requests.into_iter().flat_map(|(request, record)| {
+        let items = requests.into_iter().flat_map(move |(request, record)| {
             let mut crashes = record.crashes.clone();
-            crashes.sort_unstable();
-            let crashes = crashes.into_iter().map(|(target, at)| (*request, Some(target), at));
-            record.answered_at.map(|at| (*request, None, at)).into_iter().chain(crashes)
+            crashes.sort_unstable_by_key(|end| (end.target, end.at));
+            let crashes = crashes.into_iter().map(move |end| crash_report(*request, &end, now));
+            let answer = record.answered_at.map(|at| CrashReport {
+                request: *request,
+                target: None,
+                age_ms: now.since(at).as_millis() as u32,
+                run_ms: None,
+            });
+            answer.into_iter().chain(crashes)
         });
         items.take(REPORTS_MAX)
     }
@@ -255,18 +292,23 @@
     }
 }
 
-/// Returns the quarantine that follows from the times of ends, in ascending order, if there are
-/// enough of them.
-fn quarantine_of<I>(times: I) -> Option<RequestQuarantine>
+fn crash_report(request: RequestFingerprint, end: &TargetEnd, now: Moment) -> CrashReport {
+    let age_ms = now.since(end.at).as_millis() as u32;
+    CrashReport { request, target: Some(end.target), age_ms, run_ms: end.run_ms }
+}
+
+/// Returns the quarantine that follows from ends, in the order of their times, if enough of them
+/// count.
+fn quarantine_of<I>(ends: I) -> Option<RequestQuarantine>
 where
-    I: IntoIterator<Item = Moment>,
+    I: IntoIterator<Item = TargetEnd>,
 {
     let mut counted = 0;
     let mut last: Option<Moment> = None;
-    for at in times {
-        if last.is_none_or(|last| at.since(last) >= CRASH_SEPARATION) {
+    for end in ends {
+        if last.is_none_or(|last| end.is_separate(last)) {
             counted += 1;
-            last = Some(at);
+            last = Some(end.at);
         }
     }
     let last = last.filter(|_| counted >= CRASHES_MIN)?;
@@ -276,8 +318,8 @@
 
 /// Removes the crash that follows another one the soonest, which makes the least difference to the
 /// number of those that count. They are in the order of their times.
-fn remove_closest(crashes: &mut Vec<(u32, Moment)>) {
-    let gaps = crashes.windows(2).map(|pair| pair[1].1.since(pair[0].1));
+fn remove_closest(crashes: &mut Vec<TargetEnd>) {
+    let gaps = crashes.windows(2).map(|pair| pair[1].at.since(pair[0].at));
     let closest = gaps.enumerate().min_by_key(|(_, gap)| *gap);
     if let Some((index, _)) = closest {
         crashes.remove(index + 1);
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -16,7 +16,7 @@
         fleet::{
             decision_events::DecisionEvent,
             list_schedule::ListSchedule,
-            messages::{EntryHeartbeat, FleetMessage, InstancePlace},
+            messages::{CrashReport, EntryHeartbeat, FleetMessage, InstancePlace},
             replica::send_message,
             roster::{TargetList, TargetRoster},
         },
@@ -355,6 +355,7 @@
 
     fn heartbeat_to(&self, peer: SocketAddr, follows: bool, now: Moment) -> NodeEffect {
         let interval = if follows { FOLLOWED_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
+        let crashes = self.router.crash_reports(follows, now);
         let heartbeat = EntryHeartbeat {
             front: self.callers_address,
             place: self.place.clone(),
@@ -372,7 +373,8 @@
             rate_limits: self.router.recent_rate_limits(now),
             rate_limits_mark: self.router.rate_limits_mark(),
             cut_off: self.router.is_forwarding(),
-            crashes: self.router.crash_reports(follows, now),
+            crash_runs_ms: CrashReport::runs_ms(&crashes),
+            crashes,
             // Only the followed replica replies.
             crash_mark: if follows { self.router.crash_mark() } else { 0 },
         };
--- a/crates/core/src/fleet/entry/replies.rs
+++ b/crates/core/src/fleet/entry/replies.rs
@@ -9,7 +9,7 @@
         effect::NodeEffect,
         fleet::{
             decision_events::DecisionEvent,
-            messages::{FleetMessage, HeartbeatReply, PublishedState},
+            messages::{CrashReport, CrashView, FleetMessage, HeartbeatReply, PublishedState},
             roster::RosterUpdate,
         },
         wire::{PeerEnvelope, PeerMessage},
@@ -70,7 +70,11 @@
         self.router.apply_load_samples(&reply.busy, now);
         self.router.apply_outages(&reply.outages, now);
         self.router.set_bridges(reply.bridges);
-        self.router.apply_crashes(reply.crashes.as_ref(), now);
+        let crashes = reply.crashes.map(|view| CrashView {
+            reports: CrashReport::with_runs(&view.reports, &reply.crash_runs_ms).collect(),
+            ..view
+        });
+        self.router.apply_crashes(crashes.as_ref(), now);
         if let Some(limits) = reply.rate_limits {
             self.router.apply_rate_limits(limits, now);
         }
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -98,6 +98,8 @@
     pub crashes: Vec<CrashReport>,
     /// The mark of those that it knows ([`CrashView::mark`]).
     pub crash_mark: u64,
+    /// The value of [`CrashReport::run_ms`] for each of `crashes`, in the same order.
+    pub crash_runs_ms: Vec<Option<u32>>,
 }
 
 /// The end of a target while it ran a request, or an answer to a request under which targets ended.
@@ -109,6 +111,28 @@
     pub target: Option<u32>,
     /// The time since then, in milliseconds.
     pub age_ms: u32,
+    /// The time from sending the request to the end of the target, in milliseconds; none if unknown,
+    /// or for an answer. Messages have it in a field of their own, since older builds can't pass over
+    /// another field here.
+    #[serde(skip)]
+    pub run_ms: Option<u32>,
+}
+
+impl CrashReport {
+    /// Returns the times of runs of reports, in the same order, for a field of their own.
+    pub fn runs_ms(reports: &[Self]) -> Vec<Option<u32>> {
+        reports.iter().map(|report| report.run_ms).collect()
+    }
+
+    /// Returns decoded reports with the times of runs from the field of their own, which is shorter
+    /// if an older build wrote it.
+    pub fn with_runs<'a>(
+        reports: &'a [Self],
+        runs_ms: &'a [Option<u32>],
+    ) -> impl Iterator<Item = Self> + use<'a> {
+        let runs_ms = runs_ms.iter().copied().chain(std::iter::repeat(None));
+        reports.iter().zip(runs_ms).map(|(report, run_ms)| Self { run_ms, ..*report })
+    }
 }
 
 /// The requests under which targets ended, as known to an instance.
@@ -197,6 +221,8 @@
     pub bridges: Vec<SocketAddr>,
     /// The requests under which targets ended; none if the entry knows the same.
     pub crashes: Option<CrashView>,
+    /// The value of [`CrashReport::run_ms`] for each report of `crashes`, in the same order.
+    pub crash_runs_ms: Vec<Option<u32>>,
 }
 
 /// The ready entries that reach targets, as known to a replica.
--- a/crates/core/src/fleet/replica/crash_storage.rs
+++ b/crates/core/src/fleet/replica/crash_storage.rs
@@ -25,7 +25,7 @@
 impl ReplicaState {
     /// Takes over the crashes that an earlier process of this replica stored.
     pub fn restore_crashes(&mut self, crashes: &StoredCrashes, now: Moment) {
-        self.crashes.merge(&crashes.reports, now);
+        self.crashes.merge(crashes.reports.iter().copied(), now);
     }
 
     /// Stores the crashes of quarantined requests if they have changed.
--- a/crates/core/src/fleet/replica/followers.rs
+++ b/crates/core/src/fleet/replica/followers.rs
@@ -11,7 +11,8 @@
         fleet::{
             decision_events::DecisionEvent,
             messages::{
-                EntryHeartbeat, FleetMessage, HeartbeatReply, PublishedState, RateLimitView,
+                CrashReport, EntryHeartbeat, FleetMessage, HeartbeatReply, PublishedState,
+                RateLimitView,
             },
             replica::send_message,
         },
@@ -33,7 +34,8 @@
         self.loads.record(&heartbeat.loads, now);
         self.outages.record(&heartbeat.place, &heartbeat.outages, now);
         self.rate_limits.record(&heartbeat.rate_limits, now);
-        self.crashes.merge(&heartbeat.crashes, now);
+        let crashes = CrashReport::with_runs(&heartbeat.crashes, &heartbeat.crash_runs_ms);
+        self.crashes.merge(crashes, now);
         let known_crashes = heartbeat.crash_mark;
         let region = heartbeat.place.region.clone();
         self.entries.record(peer, heartbeat, now);
@@ -51,6 +53,8 @@
             _ => limits.clone(),
         });
         let crashes = (view.crashes.mark != known_crashes).then(|| view.crash_view(now));
+        let reports = crashes.as_ref().map_or(&[][..], |view| &view.reports);
+        let crash_runs_ms = CrashReport::runs_ms(reports);
         let reply = HeartbeatReply {
             echo,
             current,
@@ -64,6 +68,7 @@
             rate_limits,
             bridges,
             crashes,
+            crash_runs_ms,
         };
         vec![send_message(peer, FleetMessage::PulseReply(reply))]
     }
--- a/crates/core/src/fleet/stored_crashes.rs
+++ b/crates/core/src/fleet/stored_crashes.rs
@@ -22,6 +22,9 @@
     format: u16,
     /// The crashes.
     pub reports: Vec<CrashReport>,
+    /// The value of [`CrashReport::run_ms`] for each of `reports`. Older builds store and read
+    /// nothing after the reports.
+    runs_ms: Vec<Option<u32>>,
 }
 
 /// An error in decoding stored crashes.
@@ -41,7 +44,8 @@
 impl StoredCrashes {
     /// Returns the stored form of crashes.
     pub fn new(reports: Vec<CrashReport>) -> Self {
-        Self { format: STORED_FORMAT, reports }
+        let runs_ms = CrashReport::runs_ms(&reports);
+        Self { format: STORED_FORMAT, reports, runs_ms }
     }
 
     /// Returns the encoded form with its checksum.
@@ -67,6 +71,9 @@
         if format != STORED_FORMAT {
             return Err(StoredCrashesError::Format(format));
         }
-        Ok(postcard::from_bytes(bytes)?)
+        // An empty list follows the reports of an older build.
+        let mut stored: Self = postcard::from_bytes(&[bytes, &[0]].concat())?;
+        stored.reports = CrashReport::with_runs(&stored.reports, &stored.runs_ms).collect();
+        Ok(stored)
     }
 }
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -308,7 +308,7 @@
             }
         }
         self.record_processing_time(request, target, result, elapsed, now);
-        self.record_survival(request, target, result, timed_out, now);
+        self.record_survival(request, target, result, (elapsed, timed_out), now);
         self.update_failure_rate(request, result);
         let (link_saturated, link_uncongested) =
             (self.connect_meter.is_link_saturated(), self.connect_meter.is_link_uncongested());
--- a/crates/core/src/traffic/quarantine.rs
+++ b/crates/core/src/traffic/quarantine.rs
@@ -50,12 +50,21 @@
 /// A target that broke connections and may have ended.
 #[derive(Clone, Debug, Default)]
 struct BrokenTarget {
-    /// The requests that it was running, and when their connections broke.
-    requests: Vec<(RequestFingerprint, Moment)>,
+    /// The requests that it was running.
+    requests: Vec<BrokenRun>,
     /// The time of the last check that was requested.
     checked_at: Option<Moment>,
 }
 
+/// A run of a request whose connection broke.
+#[derive(Clone, Copy, Debug)]
+struct BrokenRun {
+    request: RequestFingerprint,
+    /// The time from sending the request to `broken_at`.
+    duration: Duration,
+    broken_at: Moment,
+}
+
 /// A check whether a target still listens.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetCheck {
@@ -72,7 +81,7 @@
 pub(crate) struct QuarantineState {
     crashes: CrashTracker,
     /// What this entry saw itself, the oldest first.
-    own_reports: VecDeque<(RequestFingerprint, Option<u32>, Moment)>,
+    own_reports: VecDeque<(CrashReport, Moment)>,
     broken: BTreeMap<TargetName, BrokenTarget>,
     /// The time of this entry's last attempt after a quarantine, for each request.
     trials: BTreeMap<RequestFingerprint, Moment>,
@@ -85,12 +94,10 @@
 }
 
 impl QuarantineState {
-    fn report(&mut self, request: RequestFingerprint, target: Option<u32>, at: Moment) {
-        match target {
-            Some(target) => self.crashes.record_crash(request, target, at),
-            None => self.crashes.record_answer(request, at),
-        }
-        self.own_reports.push_back((request, target, at));
+    /// Records a report of this entry, whose age is 0 at `at`.
+    fn report(&mut self, report: CrashReport, at: Moment) {
+        self.crashes.merge([report], at);
+        self.own_reports.push_back((report, at));
         if self.own_reports.len() > REPORTS_MAX {
             self.own_reports.pop_front();
         }
@@ -184,7 +191,7 @@
         request: &AdmittedRequest,
         target: &TargetName,
         result: AttemptResult,
-        timed_out: bool,
+        (elapsed, timed_out): (Duration, bool),
         now: Moment,
     ) {
         if result == AttemptResult::NotSent && !timed_out {
@@ -193,18 +200,24 @@
         let Some(fingerprint) = request.fingerprint else { return };
         if result.is_broken() {
             let broken = self.quarantine.broken.entry(target.clone()).or_default();
-            broken.requests.push((fingerprint, now));
+            broken.requests.push(BrokenRun {
+                request: fingerprint,
+                duration: elapsed,
+                broken_at: now,
+            });
         } else if matches!(result, AttemptResult::Answered { .. })
             && self.quarantine.crashes.is_suspect(&fingerprint)
         {
-            self.quarantine.report(fingerprint, None, now);
+            let answer =
+                CrashReport { request: fingerprint, target: None, age_ms: 0, run_ms: None };
+            self.quarantine.report(answer, now);
         }
     }
 
     /// Returns the checks of targets that broke connections, once for each.
     pub fn take_target_checks(&mut self, now: Moment) -> Vec<TargetCheck> {
         self.quarantine.broken.retain(|_, broken| {
-            broken.requests.retain(|(_, at)| now.since(*at) < BROKEN_TTL);
+            broken.requests.retain(|run| now.since(run.broken_at) < BROKEN_TTL);
             let is_recent = broken.checked_at.is_some_and(|at| now.since(at) < BROKEN_TTL);
             is_recent || !broken.requests.is_empty()
         });
@@ -233,11 +246,17 @@
     /// Reports the requests that a target that has ended was running.
     fn confirm_end(&mut self, target: &TargetName, now: Moment) {
         let Some(broken) = self.quarantine.broken.remove(target) else { return };
-        let recent = broken.requests.into_iter().filter(|(_, at)| now.since(*at) < BROKEN_TTL);
-        for (request, at) in recent {
-            self.quarantine.report(request, Some(target_hash(target)), at);
-            let target = target.clone();
-            self.log_events.push(DecisionEvent::TargetCrashed { target, fingerprint: request });
+        let is_recent = |run: &BrokenRun| now.since(run.broken_at) < BROKEN_TTL;
+        for run in broken.requests.into_iter().filter(is_recent) {
+            let report = CrashReport {
+                request: run.request,
+                target: Some(target_hash(target)),
+                age_ms: 0,
+                run_ms: Some(run.duration.as_millis() as u32),
+            };
+            self.quarantine.report(report, run.broken_at);
+            let (target, fingerprint) = (target.clone(), run.request);
+            self.log_events.push(DecisionEvent::TargetCrashed { target, fingerprint });
         }
     }
 
@@ -248,7 +267,7 @@
             return;
         }
         state.crashes.tick(now);
-        state.own_reports.retain(|(_, _, at)| now.since(*at) < REPORT_AGE_MAX);
+        state.own_reports.retain(|(_, at)| now.since(*at) < REPORT_AGE_MAX);
         let quarantined: BTreeMap<RequestFingerprint, RequestQuarantine> = (state.crashes)
             .requests()
             .filter_map(|request| Some((*request, state.crashes.quarantine(request)?)))
@@ -283,9 +302,9 @@
             true => self.quarantine.crashes.view(now).reports,
             false => Vec::new(),
         };
-        reports.extend(self.quarantine.own_reports.iter().map(|(request, target, at)| {
+        reports.extend(self.quarantine.own_reports.iter().map(|(report, at)| {
             let age_ms = now.since(*at).as_millis() as u32;
-            CrashReport { request: *request, target: *target, age_ms }
+            CrashReport { age_ms, ..*report }
         }));
         reports
     }
@@ -298,7 +317,7 @@
     /// Applies the crashes that the followed replica knows; none if its mark was equal.
     pub fn apply_crashes(&mut self, view: Option<&CrashView>, now: Moment) {
         if let Some(view) = view {
-            self.quarantine.crashes.merge(&view.reports, now);
+            self.quarantine.crashes.merge(view.reports.iter().copied(), now);
         }
         self.quarantine.replica_lacks =
             view.is_some_and(|view| view.mark != self.quarantine.crashes.mark());
--- a/crates/core/tests/entry_registry.rs
+++ b/crates/core/tests/entry_registry.rs
@@ -39,6 +39,7 @@
         cut_off: false,
         crashes: Vec::new(),
         crash_mark: 0,
+        crash_runs_ms: Vec::new(),
     };
     (peer, heartbeat)
 }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -125,6 +125,7 @@
         rate_limits: None,
         bridges: Vec::new(),
         crashes: None,
+        crash_runs_ms: Vec::new(),
     })
 }
 
--- a/crates/core/tests/heartbeat_replies.rs
+++ b/crates/core/tests/heartbeat_replies.rs
@@ -123,6 +123,7 @@
         cut_off: false,
         crashes: Vec::new(),
         crash_mark: 0,
+        crash_runs_ms: Vec::new(),
     }
 }
 
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -20,6 +20,7 @@
             },
             router::RequestRouter,
         },
+        util::stable_hash,
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     routing::{at, router_of},
@@ -152,11 +153,11 @@
 fn quarantine_by_caller() {
     let mut tracker = CrashTracker::default();
     let apart = |number: u32| at(u64::from(number) * 300);
-    (0..5).for_each(|target| tracker.record_crash(request(1, 1), target, apart(target)));
+    (0..5).for_each(|target| tracker.record_crash(request(1, 1), target, apart(target), None));
     assert!(tracker.quarantine(&request(1, 1)).is_some());
     assert_eq!(tracker.quarantine(&request(1, 2)), None);
     let mut tracker = CrashTracker::default();
-    (0..3).for_each(|number| tracker.record_crash(request(1, number), number, apart(number)));
+    (0..3).for_each(|number| tracker.record_crash(request(1, number), number, apart(number), None));
     assert!(tracker.quarantine(&request(1, 9)).is_some(), "three callers met it");
     // An answer to any of them shows that the request isn't the cause.
     tracker.record_answer(request(1, 9), at(601));
@@ -173,18 +174,31 @@
         let target = number % 10;
         // All entries see the ends within the time that reports take.
         let now = at(1_000 + u64::from(number) * 5);
-        tracker.record_crash(request(1, number), target, now);
-        tracker.record_crash(request(2, 1), target, now);
+        tracker.record_crash(request(1, number), target, now, None);
+        tracker.record_crash(request(2, 1), target, now, None);
     }
     assert_eq!(tracker.quarantine(&request(1, 99)), None);
     assert_eq!(tracker.quarantine(&request(1, 1)), None);
     assert_eq!(tracker.quarantine(&request(2, 1)), None);
     // Further ends, without an answer since, are another matter.
-    tracker.record_crash(request(2, 1), 11, at(1_600));
-    tracker.record_crash(request(2, 1), 12, at(2_000));
+    tracker.record_crash(request(2, 1), 11, at(1_600), None);
+    tracker.record_crash(request(2, 1), 12, at(2_000), None);
     assert!(tracker.quarantine(&request(2, 1)).is_some());
 }
 
+/// Guards against a request that ends all targets so quickly, one after the other, that their ends
+/// pass for simultaneous ones.
+#[test]
+fn quarantine_after_quick_crashes() {
+    for (run_ms, is_quarantined) in [(Some(5), true), (Some(200), false), (None, false)] {
+        let mut tracker = CrashTracker::default();
+        for target in 0..3 {
+            tracker.record_crash(request(1, 1), target, at(1_000 + 60 * u64::from(target)), run_ms);
+        }
+        assert_eq!(tracker.quarantine(&request(1, 1)).is_some(), is_quarantined, "{run_ms:?}");
+    }
+}
+
 /// Guards against targets that get a connection for each of many broken ones.
 #[test]
 fn checks_of_broken_target_are_rare() {
@@ -236,7 +250,7 @@
     let mut tracker = CrashTracker::default();
     for router in routers.iter_mut() {
         let reports = router.crash_reports(true, now);
-        tracker.merge(&reports, now);
+        tracker.merge(reports, now);
     }
     let view = tracker.view(now);
     routers.iter_mut().for_each(|router| router.apply_crashes(Some(&view), now));
@@ -272,9 +286,9 @@
     let fingerprint = request(u64::MAX, 1);
     for number in 0..20_000_u32 {
         let now = at(u64::from(number) * 10);
-        tracker.record_crash(request(u64::from(number), number), number, now);
+        tracker.record_crash(request(u64::from(number), number), number, now, None);
         if [0, 500, 1_000].contains(&number) {
-            tracker.record_crash(fingerprint, number, now);
+            tracker.record_crash(fingerprint, number, now, None);
         }
     }
     assert!(tracker.len() <= 1_024, "{} requests", tracker.len());
@@ -298,7 +312,8 @@
         // All reports of the end of a target are about the same moment.
         let ended_ms = target.map(|target| 300 * (target + 1));
         let age_ms = ended_ms.unwrap_or_else(|| u32::from(u8::arbitrary(random)) * 4 + 1);
-        Self(CrashReport { request, target, age_ms })
+        let run_ms = target.map(|target| 100 * (target % 3));
+        Self(CrashReport { request, target, age_ms, run_ms })
     }
 }
 
@@ -313,8 +328,8 @@
         other.rotate_left(rotation % reports.len().max(1));
         other.extend(reports.iter().copied());
         let (mut left, mut right) = (CrashTracker::default(), CrashTracker::default());
-        left.merge(&reports, at(2_000));
-        right.merge(&other, at(2_000));
+        left.merge(reports.clone(), at(2_000));
+        right.merge(other.clone(), at(2_000));
         let all = (0..3).flat_map(|content| (0..3).map(move |caller| request(content, caller)));
         all.into_iter().all(|request| {
             left.quarantine(&request).is_some() == right.quarantine(&request).is_some()
@@ -335,7 +350,7 @@
     let mut replica = CrashTracker::default();
     assert_eq!(first.crash_reports(true, now), []);
     first.apply_crashes(Some(&replica.view(now)), now);
-    replica.merge(&first.crash_reports(true, now), now);
+    replica.merge(first.crash_reports(true, now), now);
     assert_eq!(replica.mark(), first.crash_mark());
     second.apply_crashes(Some(&replica.view(now)), now);
     let refusal = send(&mut second, fingerprint, now).1.unwrap_err();
@@ -348,11 +363,11 @@
 fn stored_crashes_are_restored() {
     let mut tracker = CrashTracker::default();
     let apart = |number: u32| at(1_000 + u64::from(number) * 300);
-    (0..3).for_each(|target| tracker.record_crash(request(1, 1), target, apart(target)));
-    tracker.record_crash(request(2, 1), 9, at(1_000));
+    (0..3).for_each(|target| tracker.record_crash(request(1, 1), target, apart(target), None));
+    tracker.record_crash(request(2, 1), 9, at(1_000), None);
     let bytes = StoredCrashes::new(tracker.quarantined(at(2_000))).encode();
     let mut restored = CrashTracker::default();
-    restored.merge(&StoredCrashes::decode(&bytes).unwrap().reports, at(2_000));
+    restored.merge(StoredCrashes::decode(&bytes).unwrap().reports, at(2_000));
     assert_eq!(restored.quarantine(&request(1, 1)), tracker.quarantine(&request(1, 1)));
     assert_eq!(restored.len(), 1);
     for index in 0..bytes.len() {
@@ -366,10 +381,16 @@
 /// Guards against a changed stored form, which later builds couldn't read.
 #[test]
 fn stored_crashes_form_is_kept() {
-    let report = CrashReport { request: request(300, 7), target: Some(5), age_ms: 2 };
-    let expected = [1, 1, 172, 2, 0, 7, 1, 5, 2];
+    let report =
+        CrashReport { request: request(300, 7), target: Some(5), age_ms: 2, run_ms: Some(1) };
+    let older = [1, 1, 172, 2, 0, 7, 1, 5, 2];
     let bytes = StoredCrashes::new(vec![report]).encode();
-    assert_eq!(bytes[..bytes.len() - 8], expected);
+    let (stored, _) = bytes.split_at(bytes.len() - 8);
+    assert_eq!(stored, [&older[..], &[1, 1, 1]].concat());
+    assert_eq!(StoredCrashes::decode(&bytes).unwrap().reports, [report]);
+    let checksum = stable_hash(&older).to_le_bytes();
+    let decoded = StoredCrashes::decode(&[&older[..], &checksum].concat()).unwrap();
+    assert_eq!(decoded.reports, [CrashReport { run_ms: None, ..report }]);
 }
 
 fn head<'a>(path: &'a str, caller: [u8; 4], credentials: &[&'a [u8]]) -> HeadIdentity<'a> {
