Bodies take turns on the entry's link, in small pieces

Hypothesis: on the grown report desk the entries' links bind (7.2 Mbit/s). An upload written at once (60 KB, 67 ms) delays every head, response and connection written after it.

Change: BodyPacer. Bodies are written in pieces of 4 KB, a piece only when the link has carried nearly all that was written before; smaller bodies first, a body being passed only by those that begin within ten times its own time on the link. A body's processing time counts from its last piece.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -13,7 +13,8 @@
   entry for its requests while it doesn't.
 * [`fingerprint`] identifies requests that are sent again; [`quarantine`] refuses those that end the
   targets that run them.
-* [`body_budget`] limits the memory for callers' bodies.
+* [`body_budget`] limits the memory for callers' bodies, and [`body_pacer`] the pace at which they are
+  written.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
 * [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets, and
   `target_limits` with `rate_share` those to targets that state a limit.
@@ -25,6 +26,7 @@
 
 mod admission;
 pub mod body_budget;
+pub mod body_pacer;
 pub mod cold_limiter;
 mod connect_meter;
 mod dispatch;
--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -5,8 +5,8 @@
 
 use {
     super::{
-        connection_pool::ConnectionPool, decision_log::DecisionLog, fleet_metrics::FleetMetrics,
-        list_reader, settings::FleetSettings,
+        body_turns::LinkTurns, connection_pool::ConnectionPool, decision_log::DecisionLog,
+        fleet_metrics::FleetMetrics, list_reader, settings::FleetSettings,
     },
     crate::{peer_link::PeerLinks, shell::moment_since},
     hemlockspool_core::{
@@ -42,6 +42,8 @@
     pub settings: FleetSettings,
     /// The connections to targets.
     pub pool: ConnectionPool,
+    /// The turns of callers' bodies on this entry's link.
+    pub link_turns: LinkTurns,
     /// The decision log.
     pub log: DecisionLog,
     /// The metrics.
@@ -76,9 +78,11 @@
     pub(crate) fn new(parts: EntryShellParts) -> Arc<Self> {
         let EntryShellParts { settings, state, log, client, links, started } = parts;
         let pool = ConnectionPool::new(settings.tunnels.clone().unwrap_or_default());
+        let link_turns = LinkTurns::new(settings.link_bytes_per_s(), started);
         Arc::new(Self {
             settings,
             pool,
+            link_turns,
             log,
             metrics: Arc::new(FleetMetrics::new()),
             client,
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -49,7 +49,9 @@
 
 /// The approximate number of bytes that the heads of a request and of its response take on a link,
 /// together with the packet headers.
-const HEADER_OVERHEAD_BYTES: u64 = 900;
+const HEADER_OVERHEAD_BYTES: u64 = 2 * HEAD_BYTES;
+/// The same for one head.
+const HEAD_BYTES: u64 = 450;
 
 /// The memory reserved for the body of a request; released when dropped.
 struct BodyMemory<'a> {
@@ -169,7 +171,8 @@
             (limits, state.router.admit(&head, now))
         })
     };
-    let body = RequestBody::new(incoming, limits, expects_continue);
+    let link_turns = shell.link_turns.clone();
+    let body = RequestBody::new(incoming, limits, expects_continue, link_turns);
     let result = match admitted {
         Ok(admitted) => {
             let caller = CallerRequest::new(&request, body.clone());
@@ -177,6 +180,8 @@
         }
         Err(refusal) => Err(refusal),
     };
+    let buffered_bytes = result.as_ref().map_or(0, |response| response.buffered_bytes);
+    shell.link_turns.record_written(HEAD_BYTES + buffered_bytes);
     match result {
         // The target may read the body until the end of its response.
         Ok(response) if response.is_streamed => caller_response(response),
@@ -306,6 +311,7 @@
     id: &str,
 ) -> AttemptOutcome {
     let request = build_request(attempt, caller);
+    shell.link_turns.record_written(HEAD_BYTES);
     let mut sent_at = Instant::now();
     let (head, mut connection) = match shell.pool.send(attempt, request).await {
         SendResult::Head(head, connection) => (head, connection),
@@ -321,7 +327,7 @@
             });
         }
     }
-    let whole_request_at = caller.body.completed_at().map_or(sent_at, |at| at.max(sent_at));
+    let whole_request_at = caller.body.sent_at().map_or(sent_at, |at| at.max(sent_at));
     let processing = whole_request_at.elapsed();
     let (parts, body) = head.into_parts();
     let class = headers::classify_response(parts.status, &parts.headers, id);
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 * [`decision_log`] and [`fleet_metrics`] report decisions to operators.
 */
 
+mod body_turns;
 mod caller_request;
 mod connection_pool;
 mod crash_file;
--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -3,13 +3,16 @@
 
 A body is passed on to the target while it arrives, at the target's pace. Its beginning is kept, so
 that another target can get the request if the first one doesn't run it. Once more than that has
-been sent, no other target can get it. A body that ends early, stalls or is too large ends with an
+been sent, no other target can get it. Pieces wait for their turn on the entry's link. A body that ends early, stalls or is too large ends with an
 error, which closes the connection to the target: a truncated body never looks complete.
 */
 
 use {
+    super::body_turns::{BodyTurns, LinkTurns},
     bytes::Bytes,
-    hemlockspool_core::traffic::{fingerprint::BodyHasher, request::RefusalReason},
+    hemlockspool_core::traffic::{
+        body_pacer::PIECE_BYTES_MAX, fingerprint::BodyHasher, request::RefusalReason,
+    },
     http_body_util::combinators::BoxBody,
     hyper::body::{Body, Frame, SizeHint},
     std::{
@@ -41,6 +44,7 @@
 #[derive(Clone)]
 pub(crate) struct RequestBody {
     source: Arc<Mutex<BodySource>>,
+    link: LinkTurns,
 }
 
 impl RequestBody {
@@ -50,11 +54,12 @@
         incoming: BoxBody<Bytes, io::Error>,
         limits: BodyLimits,
         expects_continue: bool,
+        link: LinkTurns,
     ) -> Self {
         let source = BodySource {
             announced_bytes: incoming.size_hint().exact(),
             is_complete: incoming.is_end_stream(),
-            completed_at: None,
+            sent_at: None,
             incoming,
             limits,
             expects_continue,
@@ -65,14 +70,21 @@
             reader: 0,
             silence: None,
         };
-        Self { source: Arc::new(Mutex::new(source)) }
+        Self { source: Arc::new(Mutex::new(source)), link }
     }
 
     /// Returns the body for the next attempt. Those of earlier attempts end with an error.
     pub(crate) fn for_attempt(&self) -> AttemptBody {
         let mut source = self.lock();
         source.reader += 1;
-        AttemptBody { body: self.clone(), reader: source.reader, position: 0 }
+        AttemptBody {
+            body: self.clone(),
+            reader: source.reader,
+            position: 0,
+            pending: Bytes::new(),
+            sent_bytes: 0,
+            turns: None,
+        }
     }
 
     /// Returns whether the whole body has been received.
@@ -85,9 +97,9 @@
         self.lock().kept.is_none()
     }
 
-    /// Returns when the last byte was received; none before that and for an empty body.
-    pub(crate) fn completed_at(&self) -> Option<Instant> {
-        self.lock().completed_at
+    /// Returns when an attempt last passed on the last byte; none before that and for an empty body.
+    pub(crate) fn sent_at(&self) -> Option<Instant> {
+        self.lock().sent_at
     }
 
     /// Returns the number of bytes received so far.
@@ -179,7 +191,7 @@
     kept: Option<Vec<Bytes>>,
     hasher: BodyHasher,
     is_complete: bool,
-    completed_at: Option<Instant>,
+    sent_at: Option<Instant>,
     failure: Option<RefusalReason>,
     /// The number of the attempt that reads the body.
     reader: u32,
@@ -205,7 +217,7 @@
         self.silence = None;
         match frame {
             None => {
-                self.complete();
+                self.is_complete = true;
                 Poll::Ready(None)
             }
             Some(Err(_)) => self.fail(RefusalReason::BodyIncomplete),
@@ -220,7 +232,7 @@
                 if self.incoming.is_end_stream()
                     || self.announced_bytes == Some(self.received_bytes)
                 {
-                    self.complete();
+                    self.is_complete = true;
                 }
                 self.hasher.update(&piece);
                 self.keep(&piece);
@@ -229,11 +241,6 @@
         }
     }
 
-    fn complete(&mut self) {
-        self.is_complete = true;
-        self.completed_at = Some(Instant::now());
-    }
-
     fn keep(&mut self, piece: &Bytes) {
         if self.received_bytes > self.limits.kept_bytes_max {
             self.kept = None;
@@ -264,8 +271,34 @@
 pub(crate) struct AttemptBody {
     body: RequestBody,
     reader: u32,
-    /// The number of kept pieces that this attempt has sent.
+    /// The number of kept pieces that this attempt has taken.
     position: usize,
+    /// The part of the last one that wasn't sent yet.
+    pending: Bytes,
+    sent_bytes: u64,
+    /// The turns on the link, once there is something to send.
+    turns: Option<BodyTurns>,
+}
+
+impl AttemptBody {
+    /// Takes the next piece; returns whether there is one.
+    fn poll_pending(
+        &mut self,
+        source: &mut BodySource,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<bool>> {
+        while self.pending.is_empty() {
+            let kept = source.kept.as_ref().and_then(|kept| kept.get(self.position)).cloned();
+            let piece = match kept {
+                Some(piece) => Some(Ok(piece)),
+                None => ready!(source.poll_piece(cx)),
+            };
+            let Some(piece) = piece else { return Poll::Ready(Ok(false)) };
+            self.position += 1;
+            self.pending = piece?;
+        }
+        Poll::Ready(Ok(true))
+    }
 }
 
 impl Body for AttemptBody {
@@ -281,18 +314,27 @@
         if source.reader != self.reader {
             return Poll::Ready(Some(Err(io::ErrorKind::Interrupted.into())));
         }
-        let kept = source.kept.as_ref().and_then(|kept| kept.get(self.position)).cloned();
-        let piece = match kept {
-            Some(piece) => Some(Ok(piece)),
-            None => ready!(source.poll_piece(cx)),
-        };
-        self.position += 1;
-        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+        match ready!(self.poll_pending(&mut source, cx)) {
+            Ok(true) => {}
+            Ok(false) => return Poll::Ready(None),
+            Err(error) => return Poll::Ready(Some(Err(error))),
+        }
+        let bytes = self.pending.len().min(PIECE_BYTES_MAX);
+        let bytes_left = source.announced_bytes.map(|bytes| bytes.saturating_sub(self.sent_bytes));
+        let turns = self.turns.get_or_insert_with(|| request_body.link.begin());
+        ready!(turns.poll_turn(bytes, bytes_left, cx));
+        self.sent_bytes += bytes as u64;
+        let piece = self.pending.split_to(bytes);
+        if self.pending.is_empty() && source.is_complete {
+            source.sent_at = Some(Instant::now());
+        }
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
         let source = self.body.lock();
-        source.is_complete && source.kept.as_ref().is_none_or(|kept| self.position >= kept.len())
+        let is_taken = source.kept.as_ref().is_none_or(|kept| self.position >= kept.len());
+        self.pending.is_empty() && source.is_complete && is_taken
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -35,8 +35,6 @@
     },
 };
 
-/// The number of bytes per second in one megabit per second.
-const BYTES_PER_S_IN_MBPS: f64 = 125_000.0;
 /// The interval of the reducer's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which expired connections are closed and gauges are set.
@@ -75,7 +73,7 @@
         region: settings.region.clone(),
         domains: settings.domains.clone(),
         retry_limit: settings.retry_limit(),
-        link_bytes_per_s: settings.link_mbps * BYTES_PER_S_IN_MBPS,
+        link_bytes_per_s: settings.link_bytes_per_s(),
         body_memory_bytes: settings.body_memory_bytes(),
     };
     let parts = EntryParts {
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -28,6 +28,8 @@
 const BODY_MEMORY_FRACTION: f64 = 0.125;
 /// The number of bytes in one megabyte.
 const BYTES_PER_MB: f64 = 1e6;
+/// The number of bytes per second in one megabit per second.
+const BYTES_PER_S_IN_MBPS: f64 = 125_000.0;
 
 /// The settings of one instance.
 #[derive(Clone, Debug, Deserialize)]
@@ -199,6 +201,11 @@
         InstancePlace { region: self.region.clone(), domain: self.failure_domain.clone() }
     }
 
+    /// Returns the capacity of the link in each direction, in bytes per second.
+    pub(crate) fn link_bytes_per_s(&self) -> f64 {
+        self.link_mbps * BYTES_PER_S_IN_MBPS
+    }
+
     /// Returns the memory for the parts of callers' bodies that are kept, in bytes.
     pub(crate) fn body_memory_bytes(&self) -> u64 {
         let memory_mb = self.memory_mb.unwrap_or(MEMORY_MB_DEFAULT);
