Unused connections to far targets are kept for requests that run once

Reads reuse connections; requests that must not run twice don't.

Change: SparePlan. A target that takes 10 ms or more to connect to, and gets such a request every 1.5 s or more often, has connections ready that carried nothing, for 3 s. A request lost on one pauses them for its target for 30 s, losses at two targets within 5 s for all.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -14,7 +14,7 @@
 * [`fingerprint`] identifies requests that are sent again; [`quarantine`] refuses those that end the
   targets that run them.
 * [`body_budget`] limits the memory for callers' bodies, and [`body_pacer`] the pace at which they are
-  written.
+  written. [`spare_plan`] decides to which targets unused connections are kept ready.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
 * [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets, and
   `target_limits` with `rate_share` those to targets that state a limit.
@@ -42,6 +42,7 @@
 mod retry_pacer;
 mod route_stats;
 pub mod router;
+pub mod spare_plan;
 pub mod spillover;
 mod target_limits;
 pub mod target_notice;
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -4,11 +4,12 @@
 A connection carries one request at a time. It is returned to the pool only after a complete
 response that belongs to its request, and it stays there only for as long as the target is expected
 to keep it open. A request that must not run twice gets a new connection: on a reused one, bytes
-that the target never read can't be told from a request that it ran.
+that that the target never read can't be told from a request that it ran. For targets that are far away,
+unused connections are kept ready for such requests.
 */
 
 use {
-    super::request_body::AttemptBody,
+    super::{request_body::AttemptBody, spare_connections::SpareConnections},
     crate::{bridge, peer_link::set_unacked_timeout},
     hemlockspool_core::traffic::request::TargetAttempt,
     hemlockspool_model::names::TargetName,
@@ -22,7 +23,7 @@
         collections::BTreeMap,
         io::ErrorKind,
         net::SocketAddr,
-        sync::{Mutex, PoisonError},
+        sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -51,6 +52,9 @@
 /// request.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The timeout of a connection that no request waits for.
+const SPARE_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// A connection to a target. Dropping it closes it, which also cancels the request at the target.
 pub(crate) struct TargetConnection {
     sender: SendRequest<AttemptBody>,
@@ -60,6 +64,11 @@
 }
 
 impl TargetConnection {
+    /// Returns whether a request can be sent on the connection.
+    pub(super) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
     /// Returns the time that it took to connect, or `None` if the connection has carried a response
     /// before.
     pub(crate) fn take_connect_time(&mut self) -> Option<Duration> {
@@ -96,13 +105,14 @@
     /// Addresses to connect to in place of targets' own.
     tunnels: BTreeMap<SocketAddr, SocketAddr>,
     idle_connections: Mutex<BTreeMap<TargetName, Vec<IdleConnection>>>,
+    spares: SpareConnections,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections. A target whose address is a key of `tunnels` is connected
     /// to at the address that the key maps to.
     pub(crate) fn new(tunnels: BTreeMap<SocketAddr, SocketAddr>) -> Self {
-        Self { tunnels, idle_connections: Mutex::default() }
+        Self { tunnels, idle_connections: Mutex::default(), spares: SpareConnections::new() }
     }
 
     /// Returns the address to connect to for a target's address.
@@ -112,11 +122,23 @@
 
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
-        &self,
+        self: &Arc<Self>,
         attempt: &TargetAttempt,
         request: Request<AttemptBody>,
     ) -> SendResult {
         let mut request = request;
+        if let Some(mut connection) = self.take_spare(attempt) {
+            match connection.sender.try_send_request(request).await {
+                Ok(head) => return SendResult::Head(head, connection),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => {
+                        self.spares.record_loss(&attempt.target);
+                        return SendResult::Interrupted { reused: true };
+                    }
+                },
+            }
+        }
         while let Some(mut connection) = self.take_idle(attempt) {
             match connection.sender.try_send_request(request).await {
                 Ok(head) => return SendResult::Head(head, connection),
@@ -131,7 +153,7 @@
         let connection = match attempt.bridge {
             // A tunnel of this entry means nothing to the replica.
             Some(bridge) => connect(attempt.address, limit, Some(self.route_to(bridge))).await,
-            None => connect(self.route_to(attempt.address), limit, None).await,
+            None => self.connect_directly(&attempt.target, attempt.address, limit).await,
         };
         send_on(connection, request).await
     }
@@ -166,6 +188,43 @@
         result.is_ok_and(|result| result.is_err_and(|error| error.kind() == refusal))
     }
 
+    /// Takes an unused connection for a request that needs one, and has others made in the background
+    /// for those that follow.
+    fn take_spare(self: &Arc<Self>, attempt: &TargetAttempt) -> Option<TargetConnection> {
+        if !attempt.new_connection || attempt.bridge.is_some() {
+            return None;
+        }
+        let (spare, missing) = self.spares.take(&attempt.target);
+        for _ in 0..missing {
+            let (pool, target) = (Arc::clone(self), attempt.target.clone());
+            let address = attempt.address;
+            tokio::spawn(async move {
+                let connecting = pool.connect_directly(&target, address, SPARE_CONNECT_TIMEOUT);
+                let mut connection = connecting.await;
+                // No request waits for it.
+                if let Some(connection) = &mut connection {
+                    connection.take_connect_time();
+                }
+                pool.spares.finish_connecting(&target, connection);
+            });
+        }
+        spare
+    }
+
+    /// Connects to a target, not through a replica.
+    async fn connect_directly(
+        &self,
+        target: &TargetName,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Option<TargetConnection> {
+        let connection = connect(self.route_to(address), limit, None).await?;
+        if let Some(elapsed) = connection.connect_time {
+            self.spares.record_connected(target, elapsed);
+        }
+        Some(connection)
+    }
+
     fn take_idle(&self, attempt: &TargetAttempt) -> Option<TargetConnection> {
         if attempt.new_connection {
             return None;
@@ -213,7 +272,7 @@
             connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
             !connections.is_empty()
         });
-        idle_connections.values().map(Vec::len).sum()
+        idle_connections.values().map(Vec::len).sum::<usize>() + self.spares.close_expired()
     }
 }
 
--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -41,7 +41,7 @@
     /// The settings of the instance.
     pub settings: FleetSettings,
     /// The connections to targets.
-    pub pool: ConnectionPool,
+    pub pool: Arc<ConnectionPool>,
     /// The turns of callers' bodies on this entry's link.
     pub link_turns: LinkTurns,
     /// The decision log.
@@ -77,7 +77,7 @@
     /// Creates a shell.
     pub(crate) fn new(parts: EntryShellParts) -> Arc<Self> {
         let EntryShellParts { settings, state, log, client, links, started } = parts;
-        let pool = ConnectionPool::new(settings.tunnels.clone().unwrap_or_default());
+        let pool = Arc::new(ConnectionPool::new(settings.tunnels.clone().unwrap_or_default()));
         let link_turns = LinkTurns::new(settings.link_bytes_per_s(), started);
         Arc::new(Self {
             settings,
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod run_replica;
 mod settings;
 mod settings_watch;
+mod spare_connections;
 
 pub(crate) use {
     run_entry::run_entry,
