Objects spill over by their hash alone

Change: the load of targets no longer decides which objects spill over, and full targets don't spill over beyond the plan. The deficit stays, since SHIFT needs it (spillover_steady_during_local_refusals), with the gain that regions of many entries had: with 0.15 a request of deficit moved 15% of the objects.

--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -77,9 +77,8 @@
             Some(key) => stable_hash(key.as_bytes()),
             None => stable_hash(&self.request_counter.to_le_bytes()),
         };
-        let utilization = self.utilization(&service, key, now);
         let plan = self.spillovers.get_mut(&service);
-        let region = plan.and_then(|plan| plan.choose_region(key, utilization, now));
+        let region = plan.and_then(|plan| plan.choose_region(key, now));
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         Ok(AdmittedRequest {
             id: head.id.to_owned(),
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -10,7 +10,7 @@
             admission::{RETRY_AFTER_NO_CAPACITY, RETRY_AFTER_REFUSED_WITH_CAPACITY},
             connect_meter,
             peer_forwarding::bridge_timeout,
-            placement::{PlacementContext, PlacementError, TargetChoice, affinity_score},
+            placement::{PlacementContext, PlacementError, TargetChoice},
             request::{
                 AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestRefusal,
                 TargetAttempt, TargetLoad, TransferredBytes,
@@ -140,18 +140,6 @@
         context.choose_target(request, &ranked)
     }
 
-    /// Returns the utilization (load divided by slots) of the target with the highest affinity for
-    /// a key among the eligible warm targets of the region.
-    pub(super) fn utilization(&self, service: &ServiceName, key: u64, now: Moment) -> f64 {
-        let pool = self.pools.get(service).and_then(|pools| pools.get(&self.settings.region));
-        let targets = pool.into_iter().flatten().filter_map(|name| {
-            let state = self.targets.get(name)?;
-            (state.is_eligible() && !state.is_cold(now)).then_some((name, state))
-        });
-        let preferred = targets.max_by_key(|(name, _)| affinity_score(key, name));
-        preferred.map_or(0.0, |(_, state)| state.load(now) / f64::from(state.info.slots.max(1)))
-    }
-
     fn baseline_failure_rate(&self, service: &ServiceName) -> f64 {
         self.failure_rates.get(service).copied().unwrap_or_default()
     }
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -379,9 +379,6 @@
     }
 
     fn update_spillovers(&mut self, now: Moment) {
-        let local_entries =
-            self.entries.values().filter(|place| place.region == self.settings.region);
-        let entries = local_entries.count();
         for (service, pools) in &self.pools {
             let warm_slots: BTreeMap<RegionName, f64> = pools
                 .iter()
@@ -393,7 +390,6 @@
                 })
                 .collect();
             let plan = self.spillovers.entry(service.clone()).or_default();
-            plan.set_entries(entries);
             plan.update(&self.settings.region, &demand, &warm_slots, now);
         }
     }
--- a/crates/core/src/traffic/spillover.rs
+++ b/crates/core/src/traffic/spillover.rs
@@ -33,19 +33,9 @@
 /// The time after the first request during which the share stays constant: demand is measured over
 /// seconds.
 const INITIAL_HOLD: Duration = Duration::from_millis(2_500);
-/// The weight of a target's utilization in the selection of the requests that spill over first.
-const UTILIZATION_GAIN: f64 = 0.15;
-/// The utilization at which a target has no influence on the selection.
-const UTILIZATION_NEUTRAL: f64 = 0.6;
-/// The minimum share of requests that may spill over from full targets, even if the planned share
-/// is smaller. It is small compared with the platform's limit on the change of the share.
-const OVERFLOW_FRACTION: f64 = 0.04;
-/// The gain of the selection threshold for the only entry of a region: the change per request of
-/// deficit. It is divided by the number of entries in the region, because the combined share of
-/// several entries fluctuates less, and a threshold that moves less keeps more objects in place.
-const DEFICIT_GAIN: f64 = 0.15;
-/// The lower bound of the divided gain.
-const DEFICIT_GAIN_MIN: f64 = 0.02;
+/// The change of the selection threshold per request of deficit: small, so that few objects move when
+/// the actual share fluctuates.
+const DEFICIT_GAIN: f64 = 0.02;
 /// The largest deficit or surplus, in requests.
 const DEFICIT_MAX: f64 = 10.0;
 
@@ -66,8 +56,6 @@
     fast_until: Option<Moment>,
     first_request_at: Option<Moment>,
     updated_at: Option<Moment>,
-    /// The known number of entries in the region.
-    entries: usize,
 }
 
 impl SpilloverPlan {
@@ -132,38 +120,27 @@
         }
     }
 
-    /// Sets the number of entries in the region.
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries;
-    }
-
     /// Returns the region to which a request spills over, or `None` if it stays in the entry's own.
-    ///
-    /// `utilization` is the load of the local target that would run the request, as a fraction of
-    /// its slots. Requests for highly utilized targets spill over first. The deficit keeps the
-    /// overall share as planned.
-    pub fn choose_region(&mut self, key: u64, utilization: f64, now: Moment) -> Option<RegionName> {
+    pub fn choose_region(&mut self, key: u64, now: Moment) -> Option<RegionName> {
         self.first_request_at.get_or_insert(now);
         if self.weights.is_empty() {
             return None;
         }
-        let share = if utilization >= 1.0 { self.share.max(OVERFLOW_FRACTION) } else { self.share };
         let position = unit_interval(stable_hash(&key.to_le_bytes()));
-        let position = position - UTILIZATION_GAIN * (utilization.min(2.0) - UTILIZATION_NEUTRAL);
-        let gain = (DEFICIT_GAIN / self.entries.max(1) as f64).max(DEFICIT_GAIN_MIN);
-        let spills = share >= 1.0 || (share > 0.0 && position < share + gain * self.deficit);
-        let actual = if spills { 1.0 } else { 0.0 };
-        let expected = self.share.max(OVERFLOW_FRACTION);
-        self.deficit = (self.deficit + expected - actual).clamp(-DEFICIT_MAX, DEFICIT_MAX);
+        let threshold = self.share + DEFICIT_GAIN * self.deficit;
+        let spills = self.share >= 1.0 || (self.share > 0.0 && position < threshold);
+        self.add_deficit(if spills { self.share - 1.0 } else { self.share });
         if spills { self.region_for(key) } else { None }
     }
 
     /// Reverts the effect of a choice on the deficit when the request found no capacity: the share
     /// counts only requests that run.
     pub fn undo_choice(&mut self, spilled: bool) {
-        let actual = if spilled { 1.0 } else { 0.0 };
-        let expected = self.share.max(OVERFLOW_FRACTION);
-        self.deficit = (self.deficit - expected + actual).clamp(-DEFICIT_MAX, DEFICIT_MAX);
+        self.add_deficit(if spilled { 1.0 - self.share } else { -self.share });
+    }
+
+    fn add_deficit(&mut self, requests: f64) {
+        self.deficit = (self.deficit + requests).clamp(-DEFICIT_MAX, DEFICIT_MAX);
     }
 
     /// Returns the other region for a key by weighted rendezvous hashing.
