E273 tells why a response missed its route's goal

E273 (up to 100 lines a second with all other events) and the counter of events name the part that took the most time beyond that of a warm object at a free target: earlier attempts, connecting, the queue at the target, the target itself, bodies.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -242,6 +242,23 @@
         /// The time since the request arrived, in milliseconds.
         took_ms: u64,
     },
+    /// A response missed the goal of its route.
+    RequestLate {
+        /// The identifier of the request.
+        request: String,
+        /// The route of the request.
+        route: RouteName,
+        /// The target that answered.
+        target: TargetName,
+        /// Whether the target is in the entry's own region.
+        local: bool,
+        /// The part that took the most time beyond the usual.
+        cause: &'static str,
+        /// The time since the request arrived, in milliseconds.
+        took_ms: u64,
+        /// The goal of the route, in milliseconds.
+        goal_ms: u64,
+    },
     /// An attempt ended without a successful response.
     AttemptFailed {
         /// Identifies the request across repeats, if its connection broke.
@@ -381,6 +398,7 @@
             Self::QuarantineEnded { .. } => 271,
             Self::CrashesUnstored { .. } => 272,
             Self::SpillChanged { .. } => 270,
+            Self::RequestLate { .. } => 273,
             Self::LinesDropped { .. } => 280,
         }
     }
--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -10,6 +10,7 @@
         traffic::{
             body_budget::KEPT_BODY_BYTES_MAX,
             connect_meter::ConnectTimeout,
+            late_cause::AttemptTimes,
             request::{AdmittedRequest, RefusalReason, RequestHead, RequestRefusal},
             route_stats::{RESPONSE_BYTES_DEFAULT, RouteStats},
             router::RequestRouter,
@@ -94,6 +95,7 @@
             reserved_bytes,
             body_memory,
             body_consumed: false,
+            last_attempt: AttemptTimes::default(),
             connect_timeout: ConnectTimeout::default(),
             refused_with_capacity: false,
             possible_runs: 0,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -9,6 +9,7 @@
         traffic::{
             admission::{RETRY_AFTER_NO_CAPACITY, RETRY_AFTER_REFUSED_WITH_CAPACITY},
             connect_meter,
+            late_cause::{AttemptTimes, LateCause},
             peer_forwarding::bridge_timeout,
             placement::{PlacementContext, PlacementError, TargetChoice},
             request::{
@@ -158,16 +159,23 @@
         let TargetChoice { target, load, is_cold } = choice;
         let cold_per_s = self.services.get(&request.service).and_then(|policy| policy.cold_per_s);
         let mut address = self.settings.me;
-        let mut is_local = false;
+        let (mut is_local, mut slots) = (false, 1.0);
         if let Some(state) = self.targets.get_mut(&target) {
             state.own_in_flight += 1;
             is_local = state.region == self.settings.region;
             address = state.info.address;
+            slots = f64::from(state.info.slots.max(1));
             state.take_permit(now);
             if is_cold {
                 state.cold_limiter.take_permit(cold_per_s.unwrap_or(COLD_PER_S_DEFAULT), now);
             }
         }
+        request.last_attempt = AttemptTimes {
+            started_at: now,
+            utilization: load / slots,
+            is_local,
+            ..AttemptTimes::default()
+        };
         request.tried_targets.push(target.clone());
         let time_left = request.deadline.since(now);
         // Idle connections may be from before the entry was cut off.
@@ -393,13 +401,14 @@
 
     fn record_processing_time(
         &mut self,
-        request: &AdmittedRequest,
+        request: &mut AdmittedRequest,
         target: &TargetName,
         result: AttemptResult,
         elapsed: Duration,
         now: Moment,
     ) {
         let AttemptResult::Answered { status, load } = result else { return };
+        request.last_attempt.processing_time = elapsed;
         let Some(state) = self.targets.get(target) else { return };
         let is_queued = load.is_some_and(|load| load.waiting > 0);
         // A response that waits behind others on this entry's link says little about the target.
@@ -425,6 +434,7 @@
         now: Moment,
     ) {
         self.record_transfer(request, bytes);
+        self.log_late_response(request, target, now);
         self.log_events.push(DecisionEvent::RequestAnswered {
             request: request.id.clone(),
             target: target.clone(),
@@ -433,6 +443,25 @@
         });
     }
 
+    fn log_late_response(&mut self, request: &AdmittedRequest, target: &TargetName, now: Moment) {
+        if now <= request.goal_deadline {
+            return;
+        }
+        let elapsed = now.since(request.arrived_at);
+        let warm = Duration::from_secs_f64(self.warm_processing_ms(&request.route) / 1_000.0);
+        let times = &request.last_attempt;
+        let cause = LateCause::of(times, request.arrived_at, elapsed, warm);
+        self.log_events.push(DecisionEvent::RequestLate {
+            request: request.id.clone(),
+            route: request.route.name.clone(),
+            target: target.clone(),
+            local: times.is_local,
+            cause: cause.as_str(),
+            took_ms: elapsed.as_millis() as u64,
+            goal_ms: request.goal_deadline.since(request.arrived_at).as_millis() as u64,
+        });
+    }
+
     pub(super) fn record_transfer(&mut self, request: &AdmittedRequest, bytes: TransferredBytes) {
         self.link_meter.record_bytes(bytes.body + bytes.response);
         if let Some((_, stats)) = self.route_stats.get_mut(&request.route.name) {
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -6,7 +6,10 @@
     crate::{
         clock::Moment,
         fleet::routes::ResolvedRoute,
-        traffic::{connect_meter::ConnectTimeout, fingerprint::RequestFingerprint},
+        traffic::{
+            connect_meter::ConnectTimeout, fingerprint::RequestFingerprint,
+            late_cause::AttemptTimes,
+        },
     },
     hemlockspool_model::{
         names::{RegionName, ServiceName, TargetName},
@@ -67,6 +70,8 @@
     /// Whether a part of its body has been sent that isn't kept, so that no other target can get
     /// it.
     pub body_consumed: bool,
+    /// The times of the last attempt.
+    pub(crate) last_attempt: AttemptTimes,
     /// The connect timeout of the last attempt.
     pub(crate) connect_timeout: ConnectTimeout,
     /// Whether the last target that refused it reported free capacity.
@@ -88,6 +93,12 @@
 }
 
 impl AdmittedRequest {
+    /// Records the time that it took to connect for the last attempt; zero on a connection that was
+    /// there before.
+    pub fn record_connect_time(&mut self, elapsed: Duration) {
+        self.last_attempt.connect_time = elapsed;
+    }
+
     /// Returns whether the request may be retried even if the attempt under way runs it.
     pub fn may_retry(&self) -> bool {
         self.route.repeat == RouteRepeat::Safe
--- a/crates/node/src/fleet/fleet_metrics.rs
+++ b/crates/node/src/fleet/fleet_metrics.rs
@@ -55,6 +55,7 @@
             | DecisionEvent::RequestFailed { reason, .. }
             | DecisionEvent::AttemptFailed { reason, .. }
             | DecisionEvent::TargetOut { reason, .. } => reason,
+            DecisionEvent::RequestLate { cause, .. } => cause,
             _ => "",
         };
         self.events.with_label_values(&[&event.code().to_string(), reason]).inc();
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -264,7 +264,9 @@
         Ok(outcome) => outcome,
         Err(_) => AttemptResult::TimedOut.into(),
     };
-    let AttemptOutcome { result, response, processing } = outcome.blame_body(&caller.body);
+    let AttemptOutcome { result, response, processing, connect_time } =
+        outcome.blame_body(&caller.body);
+    guard.admitted.record_connect_time(connect_time);
     if result.is_broken() {
         guard.identify(caller.fingerprint());
     }
@@ -282,6 +284,8 @@
     pub response: Option<TargetResponse>,
     /// The time from when the target had the whole request to the head of its response.
     pub processing: Option<Duration>,
+    /// The time that it took to connect; zero on a connection that was there before.
+    pub connect_time: Duration,
 }
 
 impl AttemptOutcome {
@@ -299,7 +303,7 @@
 
 impl From<AttemptResult> for AttemptOutcome {
     fn from(result: AttemptResult) -> Self {
-        Self { result, response: None, processing: None }
+        Self { result, response: None, processing: None, connect_time: Duration::ZERO }
     }
 }
 
@@ -319,7 +323,9 @@
         SendResult::Interrupted { reused: true } => return AttemptResult::ConnectionClosed.into(),
         SendResult::Interrupted { reused: false } => return AttemptResult::Interrupted.into(),
     };
-    if let Some(connect_time) = connection.take_connect_time() {
+    let new_connect_time = connection.take_connect_time();
+    let connect_time = new_connect_time.unwrap_or_default();
+    if let Some(connect_time) = new_connect_time {
         sent_at += connect_time;
         if attempt.bridge.is_none() {
             shell.with_state(|state, now| {
@@ -354,6 +360,7 @@
                     result,
                     response: Some(response),
                     processing: Some(processing),
+                    connect_time,
                 },
                 None => AttemptResult::Interrupted.into(),
             }
--- a/crates/node/src/fleet/peer_forwarding.rs
+++ b/crates/node/src/fleet/peer_forwarding.rs
@@ -61,9 +61,8 @@
             let status = parts.status.as_u16();
             match read_response(parts, body, connection, &caller.body).await {
                 Some(response) => AttemptOutcome {
-                    result: AttemptResult::Answered { status, load: None },
                     response: Some(response),
-                    processing: None,
+                    ..AttemptResult::Answered { status, load: None }.into()
                 },
                 None => AttemptResult::Interrupted.into(),
             }
