--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -30,9 +30,6 @@
 /// all others. Moving its objects makes them cold, which doesn't pay when the other targets fail as
 /// often.
 const EXCESS_FAILURE_RATE: f64 = 0.3;
-/// One request in this many ranks a target with a high failure rate as usual, which shows whether
-/// the target has recovered.
-const TRIAL_INTERVAL: u64 = 24;
 
 /// The state that a placement is based on.
 #[derive(Debug)]
@@ -118,16 +115,11 @@
                 false => PlacementError::NoTarget,
             });
         }
-        // Targets with a high failure rate rank last, except for occasional trials.
-        let is_failing = |name: &TargetName, state: &TargetState| {
-            let is_trial =
-                affinity_score(request.arrived_at.0, name).is_multiple_of(TRIAL_INTERVAL);
+        // Targets with a high failure rate rank last. It decays with time, so they are tried again.
+        let is_failing = |state: &TargetState| {
             state.failure_rate(self.now) >= self.baseline_failure_rate + EXCESS_FAILURE_RATE
-                && !is_trial
         };
-        ranked.sort_unstable_by_key(|(score, name, state)| {
-            (is_failing(name, state), Reverse(*score))
-        });
+        ranked.sort_unstable_by_key(|(score, _, state)| (is_failing(state), Reverse(*score)));
         let load_if_free = |state: &TargetState| {
             let load = state.load(self.now);
             let load_limit = self.load_limit(request, state.info.slots);
