--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -357,6 +357,7 @@
         (270, LogLevel::Info, "the percentage of requests sent to other regions changed"),
         (271, LogLevel::Info, "a request that ended targets is sent again"),
         (272, LogLevel::Warn, "quarantined requests can't be read from the disk or written to it"),
+        (273, LogLevel::Info, "a response missed the goal of its route"),
         (280, LogLevel::Warn, "log lines were dropped"),
     ];
 
