Reports of crashes have their wire form as a type of its own

House style: serde attributes stand on the container. The bytes are the same (stored_crashes_form_is_kept, heartbeat_of_other_version_is_read).

--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -104,6 +104,7 @@
 
 /// The end of a target while it ran a request, or an answer to a request under which targets ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "CrashFields", into = "CrashFields")]
 pub struct CrashReport {
     /// The request.
     pub request: RequestFingerprint,
@@ -112,12 +113,32 @@
     /// The time since then, in milliseconds.
     pub age_ms: u32,
     /// The time from sending the request to the end of the target, in milliseconds; none if unknown,
-    /// or for an answer. Messages have it in a field of their own, since older builds can't pass over
-    /// another field here.
-    #[serde(skip)]
+    /// or for an answer. Messages have it in a field of their own ([`CrashReport::runs_ms`]).
     pub run_ms: Option<u32>,
 }
 
+/// The fields of a report in a list of them, behind which older builds expect the next report.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct CrashFields {
+    request: RequestFingerprint,
+    target: Option<u32>,
+    age_ms: u32,
+}
+
+impl From<CrashFields> for CrashReport {
+    fn from(fields: CrashFields) -> Self {
+        let CrashFields { request, target, age_ms } = fields;
+        Self { request, target, age_ms, run_ms: None }
+    }
+}
+
+impl From<CrashReport> for CrashFields {
+    fn from(report: CrashReport) -> Self {
+        let CrashReport { request, target, age_ms, .. } = report;
+        Self { request, target, age_ms }
+    }
+}
+
 impl CrashReport {
     /// Returns the times of runs of reports, in the same order, for a field of their own.
     pub fn runs_ms(reports: &[Self]) -> Vec<Option<u32>> {
