--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -6,7 +6,8 @@
   and [`target_notice`] what a target says of itself.
 * [`router`] holds the state that decisions are based on; `admission` admits requests, `dispatch`
   starts attempts and records their results, and [`placement`] chooses a target.
-* `route_stats` measures the processing time of routes, and `late_cause` tells why a response was late. `link_meter` and `connect_meter` measure how
+* `route_stats` measures the processing time of routes, and `late_cause` tells why a response was
+  late. `link_meter` and `connect_meter` measure how
   congested the entry's link is, by its traffic and by connect times, and `retry_pacer` spreads the
   retries of refused callers over time.
 * `reach_meter` finds out whether the entry reaches targets at all; `peer_forwarding` chooses another
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -3,9 +3,9 @@
 
 A connection carries one request at a time. It is returned to the pool only after a complete
 response that belongs to its request, and it stays there only for as long as the target is expected
-to keep it open. A request that must not run twice gets a new connection: on a reused one, bytes
-that that the target never read can't be told from a request that it ran. For targets that are far away,
-unused connections are kept ready for such requests.
+to keep it open. A request that must not run twice gets a connection that has carried no other: on a
+reused one, bytes that the target never read can't be told from a request that it ran. Such
+connections are kept ready for targets that are far away.
 */
 
 use {
--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -3,8 +3,9 @@
 
 A body is passed on to the target while it arrives, at the target's pace. Its beginning is kept, so
 that another target can get the request if the first one doesn't run it. Once more than that has
-been sent, no other target can get it. Pieces wait for their turn on the entry's link. A body that ends early, stalls or is too large ends with an
-error, which closes the connection to the target: a truncated body never looks complete.
+been sent, no other target can get it. Pieces wait for their turn on the entry's link. A body that
+ends early, stalls or is too large ends with an error, which closes the connection to the target: a
+truncated body never looks complete.
 */
 
 use {
