Entries ask all replicas at once when theirs isn't current

Cause: only the followed replica replies to heartbeats. An entry that lost it tried the others one after the other, 0.7 s each, in the order of addresses. With half of 27 replicas cut off from the rest, several in a row are. Evidence: E220 lines 0.7 s apart, E210 0.1 s after the first replica of the right half. The test fails on (entry-0 is without a current replica for more than 1.5 s), with replicas that answer followers only, as they did. The entry follows one of those that answered. Replicas of older builds don't answer, so the entry still moves on after 0.7 s. The test of messages of other builds strips all added fields now, not five of them.

--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -7,9 +7,11 @@
 no replica sends or confirms the roster, it reads the platform's list itself, at a low rate.
 */
 
+mod replica_choice;
 mod replies;
 
 use {
+    self::replica_choice::ReplicaChoice,
     crate::{
         clock::Moment,
         effect::NodeEffect,
@@ -41,9 +43,6 @@
 /// The shortest interval of heartbeats to the other replicas if there is something that all entries
 /// should hear of at once.
 const NEWS_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-/// The time after which the entry follows another replica if the followed one hasn't replied as
-/// current.
-const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
 /// The age of the list above which an entry reads it itself: later than a replica does in place of
 /// the leader, and, if the platform's rate limit allows it, early enough that a target gets no
 /// requests more than 3 s after its removal.
@@ -113,15 +112,6 @@
     pub list_calls_per_s: f64,
 }
 
-/// The replica that an entry follows.
-#[derive(Clone, Debug)]
-struct FollowedReplica {
-    peer: SocketAddr,
-    since: Moment,
-    /// The time of its last reply as a current replica.
-    last_current_reply: Option<Moment>,
-}
-
 /// The state of an entry.
 #[derive(Debug)]
 pub struct EntryState {
@@ -130,9 +120,7 @@
     callers_address: SocketAddr,
     seeds: Vec<SocketAddr>,
     replicas: BTreeSet<SocketAddr>,
-    followed: Option<FollowedReplica>,
-    /// The index of the followed replica in the sorted list of candidates, modulo its length.
-    candidate_index: u64,
+    choice: ReplicaChoice,
     /// The change number of the published state in force.
     change: u64,
     table_version: u64,
@@ -156,6 +144,8 @@
     stopping: bool,
     /// Whether the last heartbeats said that this entry can't connect to any target.
     cut_off_sent: bool,
+    /// Whether heartbeats ask the replicas whether they are current.
+    is_searching: bool,
     /// The percentage of spillover that was last logged for each service.
     logged_spillover: BTreeMap<ServiceName, u32>,
     /// The router for callers' requests.
@@ -167,14 +157,12 @@
     pub fn new(parts: EntryParts, now: Moment) -> Self {
         let EntryParts { identity, place, callers_address, seeds, router, list_calls_per_s } =
             parts;
-        let candidate_index = stable_hash(identity.name.as_str().as_bytes());
         Self {
             place,
             callers_address,
             replicas: seeds.iter().copied().collect(),
             seeds,
-            followed: None,
-            candidate_index,
+            choice: ReplicaChoice::new(identity.name.as_str()),
             change: 0,
             table_version: 0,
             table_text: String::new(),
@@ -192,6 +180,7 @@
             router_tick_due: now,
             stopping: false,
             cut_off_sent: false,
+            is_searching: false,
             logged_spillover: BTreeMap::new(),
             router: RequestRouter::new(router, now),
             identity,
@@ -310,35 +299,28 @@
             let millis = now.since(last).as_millis() as u64;
             effects.push(NodeEffect::LogDecision(DecisionEvent::ReplicasLost { millis }));
         }
-        if let Some(followed) = &self.followed {
-            let last_reply = followed.last_current_reply.unwrap_or(followed.since);
-            if now.since(last_reply) < REPLICA_TIMEOUT {
-                return effects;
-            }
-            self.candidate_index = self.candidate_index.wrapping_add(1);
+        let candidates = self.replica_peers();
+        if let Some(replica) = self.choice.choose(&candidates, now) {
+            self.followed_heartbeat_due = now;
+            effects.push(NodeEffect::LogDecision(DecisionEvent::Follows { replica }));
         }
-        let candidates: Vec<SocketAddr> = self
-            .replicas
-            .iter()
-            .chain(&self.seeds)
-            .copied()
-            .collect::<BTreeSet<_>>()
-            .into_iter()
-            .collect();
-        let index = self.candidate_index as usize % candidates.len().max(1);
-        let Some(peer) = candidates.get(index).copied() else { return effects };
-        let changed = self.followed.as_ref().is_none_or(|followed| followed.peer != peer);
-        self.followed = Some(FollowedReplica { peer, since: now, last_current_reply: None });
-        self.followed_heartbeat_due = now;
-        if changed {
-            effects.push(NodeEffect::LogDecision(DecisionEvent::Follows { replica: peer }));
+        let is_searching = self.choice.is_searching(now);
+        if is_searching && !self.is_searching {
+            let earliest = self.heartbeat_sent_at.after(NEWS_HEARTBEAT_INTERVAL);
+            self.heartbeat_due = self.heartbeat_due.min(earliest);
         }
+        self.is_searching = is_searching;
         effects
     }
 
+    /// Returns the peer addresses of all known replicas and seeds.
+    fn replica_peers(&self) -> BTreeSet<SocketAddr> {
+        self.replicas.iter().chain(&self.seeds).copied().collect()
+    }
+
     fn send_heartbeats(&mut self, now: Moment) -> Vec<NodeEffect> {
         let mut effects = Vec::new();
-        let followed = self.followed.as_ref().map(|followed| followed.peer);
+        let followed = self.choice.followed();
         if let Some(peer) = followed.filter(|_| now >= self.followed_heartbeat_due) {
             self.followed_heartbeat_due = now.after(FOLLOWED_HEARTBEAT_INTERVAL);
             effects.push(self.heartbeat_to(peer, true, now));
@@ -346,9 +328,8 @@
         if now >= self.heartbeat_due {
             self.heartbeat_due = now.after(HEARTBEAT_INTERVAL);
             self.heartbeat_sent_at = now;
-            let others = self.replicas.iter().chain(&self.seeds).collect::<BTreeSet<_>>();
-            let others = others.into_iter().filter(|peer| Some(**peer) != followed);
-            effects.extend(others.map(|peer| self.heartbeat_to(*peer, false, now)));
+            let others = self.replica_peers().into_iter().filter(|peer| Some(*peer) != followed);
+            effects.extend(others.map(|peer| self.heartbeat_to(peer, false, now)));
         }
         effects
     }
@@ -375,7 +356,8 @@
             cut_off: self.router.is_forwarding(),
             crash_runs_ms: CrashReport::runs_ms(&crashes),
             crashes,
-            // Only the followed replica replies.
+            searches: self.is_searching && !follows,
+            // Only the followed replica replies with what it knows.
             crash_mark: if follows { self.router.crash_mark() } else { 0 },
         };
         send_message(peer, FleetMessage::EntryPulse(heartbeat))
--- /dev/null
+++ b/crates/core/src/fleet/entry/replica_choice.rs
@@ -0,0 +1,120 @@
+/*!
+The choice of the replica that an entry follows.
+
+Only the followed replica sends updates, so an entry that follows one which is cut off from the leader
+keeps an old state. Trying the other replicas one after the other takes a timeout for each that is cut
+off, too: half of them may be. An entry without a current replica therefore asks all of them at once,
+and follows one of those that answer first. Replicas of older builds don't answer; for their sake, the
+entry also moves on to the next candidate after a timeout.
+*/
+
+use {
+    crate::{clock::Moment, util::stable_hash},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+};
+
+/// The time without a reply of the followed replica as current after which the others are asked:
+/// two heartbeat intervals.
+const SEARCH_DELAY: Duration = Duration::from_millis(500);
+/// The time after which the entry follows another replica if the followed one hasn't replied as
+/// current. It is also the longest round trip of a reply that counts as current.
+pub(super) const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The replica that an entry follows, and the answers of others while it isn't current.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaChoice {
+    followed: Option<FollowedReplica>,
+    /// The index of the next candidate in the sorted list of candidates, modulo its length.
+    candidate_index: u64,
+    /// The hash of the entry's name, which determines its preference among replicas.
+    preference: u64,
+    /// The replicas that answered as current since the last choice.
+    answered: BTreeSet<SocketAddr>,
+}
+
+/// The replica that an entry follows.
+#[derive(Clone, Copy, Debug)]
+struct FollowedReplica {
+    peer: SocketAddr,
+    since: Moment,
+    /// The time of its last reply as a current replica.
+    last_current_reply: Option<Moment>,
+    /// Whether its last reply said that it isn't current.
+    is_outdated: bool,
+}
+
+impl FollowedReplica {
+    /// Returns the time since its last reply as a current replica, or since the entry followed it.
+    fn silence(&self, now: Moment) -> Duration {
+        now.since(self.last_current_reply.unwrap_or(self.since))
+    }
+}
+
+impl ReplicaChoice {
+    /// Returns the choice of an entry that follows no replica yet.
+    pub(super) fn new(entry_name: &str) -> Self {
+        let preference = stable_hash(entry_name.as_bytes());
+        let answered = BTreeSet::new();
+        Self { followed: None, candidate_index: preference, preference, answered }
+    }
+
+    /// Returns the replica that the entry follows.
+    pub(super) fn followed(&self) -> Option<SocketAddr> {
+        self.followed.map(|followed| followed.peer)
+    }
+
+    /// Returns whether the entry should ask all replicas whether they are current.
+    pub(super) fn is_searching(&self, now: Moment) -> bool {
+        self.followed
+            .is_some_and(|followed| followed.is_outdated || followed.silence(now) >= SEARCH_DELAY)
+    }
+
+    /// Records a reply of the followed replica.
+    pub(super) fn record_reply(&mut self, is_current: bool, round_trip: Duration, now: Moment) {
+        let Some(followed) = &mut self.followed else { return };
+        followed.is_outdated = !is_current;
+        if is_current && round_trip < REPLICA_TIMEOUT {
+            followed.last_current_reply = Some(now);
+        }
+    }
+
+    /// Records the answer of a replica that was asked whether it is current.
+    pub(super) fn record_answer(&mut self, peer: SocketAddr, is_current: bool, trip: Duration) {
+        if is_current && trip < REPLICA_TIMEOUT {
+            self.answered.insert(peer);
+        }
+    }
+
+    /// Chooses the replica to follow. Returns it if the entry begins to follow it now.
+    pub(super) fn choose(
+        &mut self,
+        candidates: &BTreeSet<SocketAddr>,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let answered = std::mem::take(&mut self.answered);
+        if self.followed.is_some() && !self.is_searching(now) {
+            return None;
+        }
+        // Entries that search at the same time spread over the replicas that have answered.
+        let rank =
+            |peer: &SocketAddr| stable_hash(format!("{} {peer}", self.preference).as_bytes());
+        if let Some(peer) = answered.into_iter().min_by_key(rank) {
+            return self.follow(peer, now);
+        }
+        if let Some(followed) = self.followed {
+            if followed.silence(now) < REPLICA_TIMEOUT {
+                return None;
+            }
+            self.candidate_index = self.candidate_index.wrapping_add(1);
+        }
+        let index = self.candidate_index as usize % candidates.len().max(1);
+        self.follow(candidates.iter().nth(index).copied()?, now)
+    }
+
+    fn follow(&mut self, peer: SocketAddr, now: Moment) -> Option<SocketAddr> {
+        let is_new = self.followed() != Some(peer);
+        let (last_current_reply, is_outdated) = (None, false);
+        self.followed = Some(FollowedReplica { peer, since: now, last_current_reply, is_outdated });
+        is_new.then_some(peer)
+    }
+}
--- a/crates/core/src/fleet/entry/replies.rs
+++ b/crates/core/src/fleet/entry/replies.rs
@@ -3,13 +3,15 @@
 */
 
 use {
-    super::{EntryState, REPLICA_TIMEOUT},
+    super::{EntryState, replica_choice::REPLICA_TIMEOUT},
     crate::{
         clock::Moment,
         effect::NodeEffect,
         fleet::{
             decision_events::DecisionEvent,
-            messages::{CrashReport, CrashView, FleetMessage, HeartbeatReply, PublishedState},
+            messages::{
+                CrashReport, CrashView, FleetMessage, HeartbeatReply, PublishedState, SearchReply,
+            },
             roster::RosterUpdate,
         },
         wire::{PeerEnvelope, PeerMessage},
@@ -28,6 +30,10 @@
         };
         match *message {
             FleetMessage::PulseReply(reply) => self.handle_heartbeat_reply(sender.peer, reply, now),
+            FleetMessage::SearchReply(SearchReply { echo, current }) => {
+                self.choice.record_answer(sender.peer, current, now.since(echo));
+                Vec::new()
+            }
             FleetMessage::Published(state) => self.apply_published(state, now),
             FleetMessage::Roster(update) => self.apply_roster_update(update, now),
             _ => Vec::new(),
@@ -43,13 +49,14 @@
         if !reply.replicas.is_empty() {
             self.replicas = reply.replicas.into_iter().collect();
         }
-        let Some(followed) = self.followed.as_mut().filter(|followed| followed.peer == peer) else {
+        if self.choice.followed() != Some(peer) {
             return Vec::new();
-        };
-        self.router.record_reply(now.since(reply.echo), now);
+        }
+        let round_trip = now.since(reply.echo);
+        self.router.record_reply(round_trip, now);
+        self.choice.record_reply(reply.current, round_trip, now);
         let mut effects = Vec::new();
-        if reply.current && now.since(reply.echo) < REPLICA_TIMEOUT {
-            followed.last_current_reply = Some(now);
+        if reply.current && round_trip < REPLICA_TIMEOUT {
             self.last_current_reply = Some(now);
             self.state_confirmed |= self.change > 0;
             if self.loss_logged {
--- a/crates/core/src/fleet/messages.rs
+++ b/crates/core/src/fleet/messages.rs
@@ -46,6 +46,8 @@
         /// The location of the replica.
         place: InstancePlace,
     },
+    /// A reply of a replica to an entry that searches for a current one.
+    SearchReply(SearchReply),
 }
 
 /// The location of an instance.
@@ -100,6 +102,17 @@
     pub crash_mark: u64,
     /// The value of [`CrashReport::run_ms`] for each of `crashes`, in the same order.
     pub crash_runs_ms: Vec<Option<u32>>,
+    /// Whether it follows no current replica and asks the receiver whether it is one.
+    pub searches: bool,
+}
+
+/// A replica's answer to an entry that searches for a current replica.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SearchReply {
+    /// The value of [`EntryHeartbeat::sent_at`].
+    pub echo: Moment,
+    /// Whether the replica is in contact with a leader that has a quorum.
+    pub current: bool,
 }
 
 /// The end of a target while it ran a request, or an answer to a request under which targets ended.
--- a/crates/core/src/fleet/replica/followers.rs
+++ b/crates/core/src/fleet/replica/followers.rs
@@ -12,7 +12,7 @@
             decision_events::DecisionEvent,
             messages::{
                 CrashReport, EntryHeartbeat, FleetMessage, HeartbeatReply, PublishedState,
-                RateLimitView,
+                RateLimitView, SearchReply,
             },
             replica::send_message,
         },
@@ -21,7 +21,8 @@
 };
 
 impl ReplicaState {
-    /// Records a heartbeat of an entry, and replies if the entry follows this replica.
+    /// Records a heartbeat of an entry, and replies if the entry follows this replica or searches for
+    /// a current one.
     pub(super) fn handle_entry_heartbeat(
         &mut self,
         peer: SocketAddr,
@@ -37,12 +38,13 @@
         let crashes = CrashReport::with_runs(&heartbeat.crashes, &heartbeat.crash_runs_ms);
         self.crashes.merge(crashes, now);
         let known_crashes = heartbeat.crash_mark;
-        let region = heartbeat.place.region.clone();
+        let (region, searches) = (heartbeat.place.region.clone(), heartbeat.searches);
         self.entries.record(peer, heartbeat, now);
+        let current = self.is_current(now) && !self.stopping;
         if !follows {
-            return Vec::new();
+            let reply = FleetMessage::SearchReply(SearchReply { echo, current });
+            return searches.then(|| send_message(peer, reply)).into_iter().collect();
         }
-        let current = self.is_current(now) && !self.stopping;
         let (roster, roster_age_ms) = (self.roster.version(), self.roster_age_ms(now));
         let replicas = self.replica_peers().into_iter().collect();
         let bridges = self.bridges_for(&region);
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -374,7 +374,9 @@
                 Vec::new()
             }
             FleetMessage::Join { id, peer, place } => self.handle_join(id, peer, place, now),
-            FleetMessage::PulseReply(_) | FleetMessage::Published(_) => Vec::new(),
+            FleetMessage::PulseReply(_)
+            | FleetMessage::Published(_)
+            | FleetMessage::SearchReply(_) => Vec::new(),
         }
     }
 
--- a/crates/core/tests/entry_registry.rs
+++ b/crates/core/tests/entry_registry.rs
@@ -40,6 +40,7 @@
         crashes: Vec::new(),
         crash_mark: 0,
         crash_runs_ms: Vec::new(),
+        searches: false,
     };
     (peer, heartbeat)
 }
--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -8,7 +8,10 @@
         fleet::{
             compressed_table::CompressedTable,
             entry::{EntryEvent, EntryParts, EntryState},
-            messages::{FleetMessage, HeartbeatReply, InstancePlace, LiveEntries, PublishedState},
+            messages::{
+                EntryHeartbeat, FleetMessage, HeartbeatReply, InstancePlace, LiveEntries,
+                PublishedState, SearchReply,
+            },
             roster::{RosterUpdate, RosterVersion, TargetInfo, TargetList},
         },
         identity::NodeIdentity,
@@ -72,7 +75,16 @@
 
 /// Passes a message of a replica to an entry and returns the effects.
 fn receive(entry: &mut EntryState, message: FleetMessage, now: Moment) -> Vec<NodeEffect> {
-    let sender = PeerSender { name: "replica".into(), incarnation: 1, peer: REPLICA_ADDRESS };
+    receive_from(entry, REPLICA_ADDRESS, message, now)
+}
+
+fn receive_from(
+    entry: &mut EntryState,
+    peer: SocketAddr,
+    message: FleetMessage,
+    now: Moment,
+) -> Vec<NodeEffect> {
+    let sender = PeerSender { name: "replica".into(), incarnation: 1, peer };
     let message = PeerMessage::Fleet(Box::new(message));
     let deployment = "test".to_owned();
     let envelope = PeerEnvelope { format: WIRE_FORMAT, deployment, sender, message };
@@ -246,6 +258,63 @@
     assert_eq!(followed, BTreeSet::from([REPLICA_ADDRESS, other]));
 }
 
+/// Returns the answer of a replica to a heartbeat.
+fn answer_heartbeat(
+    heartbeat: &EntryHeartbeat,
+    current: bool,
+    replicas: u16,
+) -> Option<FleetMessage> {
+    let echo = heartbeat.sent_at;
+    if heartbeat.follows {
+        let FleetMessage::PulseReply(mut reply) = heartbeat_reply(current, echo) else {
+            unreachable!()
+        };
+        reply.replicas = (1..=replicas).map(replica_address).collect();
+        return Some(FleetMessage::PulseReply(reply));
+    }
+    heartbeat.searches.then_some(FleetMessage::SearchReply(SearchReply { echo, current }))
+}
+
+fn replica_address(number: u16) -> SocketAddr {
+    (std::net::Ipv4Addr::LOCALHOST, number).into()
+}
+
+/// Guards against an entry that keeps an old state while half of the replicas are cut off from the
+/// others, because it tries those that are cut off one after the other.
+#[test]
+fn entry_finds_current_replica_behind_cut() {
+    // A version must be in force 2.5 s after its acknowledgement, and replicas that are cut off reply
+    // as current for up to 1 s of it.
+    const REPLICAS: u16 = 27;
+    const TICK_MS: u64 = 50;
+    const SEARCH_MS_MAX: u64 = 1_500;
+    const CUT_AT_MS: u64 = 2_000;
+    for number in 0..50 {
+        let mut entry = entry_named(&format!("entry-{number}"));
+        entry.reduce(EntryEvent::Seeds((1..=REPLICAS).map(replica_address).collect()), at(0));
+        let mut last_current_ms = 0;
+        for now_ms in (0..CUT_AT_MS + 20_000).step_by(TICK_MS as usize) {
+            for effect in entry.reduce(EntryEvent::Tick, at(now_ms)) {
+                let NodeEffect::Send { to, message } = effect else { continue };
+                let PeerMessage::Fleet(message) = *message else { continue };
+                let FleetMessage::EntryPulse(heartbeat) = *message else { continue };
+                let current = now_ms < CUT_AT_MS || to.port() > REPLICAS / 2;
+                if heartbeat.follows && current {
+                    last_current_ms = now_ms;
+                }
+                if let Some(answer) = answer_heartbeat(&heartbeat, current, REPLICAS) {
+                    receive_from(&mut entry, to, answer, at(now_ms + TICK_MS / 2));
+                }
+            }
+            let searched_ms = now_ms - last_current_ms;
+            assert!(
+                searched_ms <= SEARCH_MS_MAX,
+                "entry-{number} without a current replica at {now_ms} ms"
+            );
+        }
+    }
+}
+
 /// Reads of the list by all entries of a fleet over a minute without replicas.
 struct RunWithoutReplicas {
     /// Calls to the platform.
--- a/crates/core/tests/heartbeat_replies.rs
+++ b/crates/core/tests/heartbeat_replies.rs
@@ -30,7 +30,7 @@
 /// Number of entries of a fleet of the planned size.
 const ENTRIES: u16 = 420;
 /// Number of fields that were added to the end of heartbeats.
-const ADDED_HEARTBEAT_FIELDS: usize = 5;
+const ADDED_HEARTBEAT_FIELDS: usize = 7;
 /// Number of targets of a fleet of the planned size.
 const TARGETS: u16 = 3_000;
 
@@ -124,6 +124,7 @@
         crashes: Vec::new(),
         crash_mark: 0,
         crash_runs_ms: Vec::new(),
+        searches: false,
     }
 }
 
