E223 tells how long packets wait on an entry's link

The logs couldn't tell requests that wait before their head is read from responses that wait after they are written, nor either from requests that the entry itself holds. The round trip of heartbeats passes through the same two queues.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -64,6 +64,11 @@
         /// The peer address of the replica.
         replica: SocketAddr,
     },
+    /// The time that packets wait on the entry's link has changed.
+    LinkDelayed {
+        /// The sum of the waits in both directions, in milliseconds.
+        millis: u64,
+    },
     /// The roster changed. A replica logs only the changes that it read from the platform itself.
     ListChanged {
         /// The number of targets in the roster.
@@ -327,6 +332,7 @@
         (220, LogLevel::Info, "the entry began to follow a replica"),
         (221, LogLevel::Warn, "no current replica replies"),
         (222, LogLevel::Info, "a current replica replies again"),
+        (223, LogLevel::Info, "the time that packets wait on the entry's link changed"),
         (230, LogLevel::Info, "the list of targets changed"),
         (231, LogLevel::Warn, "the platform's list of targets can't be read"),
         (232, LogLevel::Warn, "an item of the platform's list of targets is invalid"),
@@ -373,6 +379,7 @@
             Self::Follows { .. } => 220,
             Self::ReplicasLost { .. } => 221,
             Self::ReplicasBack { .. } => 222,
+            Self::LinkDelayed { .. } => 223,
             Self::ListChanged { .. } => 230,
             Self::ListUnread { .. } => 231,
             Self::ListEntryBad { .. } => 232,
--- a/crates/core/src/fleet/entry/replies.rs
+++ b/crates/core/src/fleet/entry/replies.rs
@@ -31,7 +31,9 @@
         match *message {
             FleetMessage::PulseReply(reply) => self.handle_heartbeat_reply(sender.peer, reply, now),
             FleetMessage::SearchReply(SearchReply { echo, current }) => {
-                self.choice.record_answer(sender.peer, current, now.since(echo));
+                let round_trip = now.since(echo);
+                self.router.record_round_trip(round_trip, now);
+                self.choice.record_answer(sender.peer, current, round_trip);
                 Vec::new()
             }
             FleetMessage::Published(state) => self.apply_published(state, now),
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,9 +7,9 @@
 * [`router`] holds the state that decisions are based on; `admission` admits requests, `dispatch`
   starts attempts and records their results, and [`placement`] chooses a target.
 * `route_stats` measures the processing time of routes, and `late_cause` tells why a response was
-  late. `link_meter` and `connect_meter` measure how
-  congested the entry's link is, by its traffic and by connect times, and `retry_pacer` spreads the
-  retries of refused callers over time.
+  late. `link_meter`, `connect_meter` and `link_delay` measure how congested the entry's link is, by its
+  traffic, by connect times and by the replies of replicas, and `retry_pacer` spreads the retries of
+  refused callers over time.
 * `reach_meter` finds out whether the entry reaches targets at all; `peer_forwarding` chooses another
   entry for its requests while it doesn't.
 * [`fingerprint`] identifies requests that are sent again; [`quarantine`] refuses those that end the
@@ -33,6 +33,7 @@
 mod dispatch;
 pub mod fingerprint;
 mod late_cause;
+mod link_delay;
 mod link_meter;
 mod peer_forwarding;
 pub mod placement;
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -103,6 +103,21 @@
     /// Records a reply of the followed replica, and the time since its heartbeat was sent.
     pub fn record_reply(&mut self, elapsed: Duration, now: Moment) {
         self.reach_meter.record_reply(elapsed, now);
+        self.record_round_trip(elapsed, now);
+    }
+
+    /// Records the time from a message to any replica to its answer.
+    pub fn record_round_trip(&mut self, elapsed: Duration, now: Moment) {
+        if let Some(delay) = self.link_delay.record_round_trip(elapsed, now) {
+            let millis = delay.as_millis() as u64;
+            self.log_events.push(DecisionEvent::LinkDelayed { millis });
+        }
+    }
+
+    /// Returns the time that packets wait on this entry's link, in both directions together; zero if
+    /// it isn't known.
+    pub fn link_delay(&self, now: Moment) -> Duration {
+        self.link_delay.current(now)
     }
 
     /// Records a new connection to a target, which ends a time of being cut off.
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -15,6 +15,7 @@
         traffic::{
             body_budget::BodyBudget,
             connect_meter::ConnectMeter,
+            link_delay::LinkDelay,
             link_meter::LinkMeter,
             quarantine::QuarantineState,
             reach_meter::ReachMeter,
@@ -85,6 +86,7 @@
     pub(super) targets_by_hash: BTreeMap<u32, TargetName>,
     pub(super) limits: RequestLimits,
     pub(super) link_meter: LinkMeter,
+    pub(super) link_delay: LinkDelay,
     pub(super) body_budget: BodyBudget,
     pub(super) retry_pacer: RetryPacer,
     pub(super) connect_meter: ConnectMeter,
@@ -133,6 +135,7 @@
             targets_by_hash: BTreeMap::new(),
             limits: RequestLimits::default(),
             link_meter,
+            link_delay: LinkDelay::default(),
             body_budget,
             retry_pacer,
             connect_meter: ConnectMeter::default(),
