Entries keep their replica while their own link delays all replies

Cause: a reply that took 0.7 s or more didn't count, and the entry moved on. On a link that is full, each next replica is as late, and sends the list and the live entries again, which keeps the link full. Change: 1.5 s instead of 0.7 s. A replica that is lost is left sooner than before, since others are asked after 0.5 s; in a fleet with older builds, which don't answer, later.

--- a/crates/core/src/fleet/entry/replica_choice.rs
+++ b/crates/core/src/fleet/entry/replica_choice.rs
@@ -17,8 +17,11 @@
 /// two heartbeat intervals.
 const SEARCH_DELAY: Duration = Duration::from_millis(500);
 /// The time after which the entry follows another replica if the followed one hasn't replied as
-/// current. It is also the longest round trip of a reply that counts as current.
-pub(super) const REPLICA_TIMEOUT: Duration = Duration::from_millis(700);
+/// current and no other has answered. On a saturated link all replies are late, and following
+/// another replica brings yet more messages. It is also the longest round trip of a reply that counts
+/// as current: with the time for which a replica that is cut off says that it is current, the state
+/// is then up to 2.5 s old, which is the time in which a version must be in force.
+pub(super) const REPLICA_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The replica that an entry follows, and the answers of others while it isn't current.
 #[derive(Clone, Debug)]
