Connections to peers that have restarted are replaced

Callers saw: after all entries lost power, refusals for want of a table for longer than the entries' start took. Cause: a machine that loses power closes no connection. Replicas wrote the first reply, the table and the list for the restarted entry on the connection to the process that was gone, where they were lost; they came again with a later heartbeat. Since updates aren't repeated while they may be on their way, that took longer yet. Change: a message of another incarnation of a peer ends the use of the connection to it, and the next message opens a new one.

--- a/crates/node/src/peer_link.rs
+++ b/crates/node/src/peer_link.rs
@@ -11,14 +11,14 @@
     crate::bridge::{self, BRIDGE_MARK, BridgeTargets},
     bytes::{BufMut, Bytes, BytesMut},
     futures_util::future::select_ok,
-    hemlockspool_core::wire::PeerEnvelope,
+    hemlockspool_core::wire::{PeerEnvelope, PeerSender},
     miette::Diagnostic,
     socket2::SockRef,
     std::{
         collections::BTreeMap,
         io,
         net::SocketAddr,
-        sync::{Mutex, PoisonError},
+        sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     thiserror::Error,
@@ -64,11 +64,30 @@
     source: io::Error,
 }
 
+/// The queues of encoded messages to other instances.
+#[derive(Debug, Default)]
+struct PeerQueues {
+    /// The queue of each open connection, by the peer's address.
+    senders: BTreeMap<SocketAddr, Sender<Bytes>>,
+    /// The incarnation of the last message from each peer.
+    incarnations: BTreeMap<SocketAddr, u64>,
+}
+
+impl PeerQueues {
+    /// Records the sender of a message. If the peer has restarted, the connection to it is replaced:
+    /// what is written to the old one is lost.
+    fn record_sender(&mut self, sender: &PeerSender) {
+        let known = self.incarnations.insert(sender.peer, sender.incarnation);
+        if known.is_some_and(|incarnation| incarnation != sender.incarnation) {
+            self.senders.remove(&sender.peer);
+        }
+    }
+}
+
 /// The connections to and from other instances.
 #[derive(Debug)]
 pub(crate) struct PeerLinks {
-    /// The queues of encoded messages, by the peer's address.
-    queues: Mutex<BTreeMap<SocketAddr, Sender<Bytes>>>,
+    queues: Arc<Mutex<PeerQueues>>,
     /// Addresses to connect to in place of the peers' own.
     tunnels: BTreeMap<SocketAddr, SocketAddr>,
     /// The targets that peers may connect to through this instance.
@@ -90,8 +109,9 @@
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| LinkListenError { address, source })?;
         let bridge_targets = BridgeTargets::default();
-        tokio::spawn(accept(listener, inbox, bridge_targets.clone()));
-        Ok(Self { queues: Mutex::default(), tunnels, bridge_targets })
+        let queues = Arc::default();
+        tokio::spawn(accept(listener, inbox, Arc::clone(&queues), bridge_targets.clone()));
+        Ok(Self { queues, tunnels, bridge_targets })
     }
 
     /// Queues a message for a peer, or drops it if the queue is full.
@@ -102,14 +122,14 @@
         frame.extend_from_slice(&message);
         let frame = frame.freeze();
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
-        let open = queues.get(&to).filter(|queue| !queue.is_closed());
+        let open = queues.senders.get(&to).filter(|queue| !queue.is_closed());
         let queue = match open {
             Some(queue) => queue.clone(),
             None => {
-                queues.retain(|_, queue| !queue.is_closed());
+                queues.senders.retain(|_, queue| !queue.is_closed());
                 let (sender, receiver) = channel(QUEUED_MESSAGES_MAX);
                 tokio::spawn(send_queued(self.tunnels.get(&to).copied().unwrap_or(to), receiver));
-                queues.insert(to, sender.clone());
+                queues.senders.insert(to, sender.clone());
                 sender
             }
         };
@@ -121,12 +141,14 @@
 async fn accept(
     listener: TcpListener,
     inbox: UnboundedSender<PeerEnvelope>,
+    queues: Arc<Mutex<PeerQueues>>,
     bridge_targets: BridgeTargets,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(read_messages(stream, inbox.clone(), bridge_targets.clone()));
+                let (inbox, queues) = (inbox.clone(), Arc::clone(&queues));
+                tokio::spawn(read_messages(stream, inbox, queues, bridge_targets.clone()));
             }
             Err(_) => sleep(RECONNECT_BACKOFF).await,
         }
@@ -138,6 +160,7 @@
 async fn read_messages(
     mut stream: TcpStream,
     inbox: UnboundedSender<PeerEnvelope>,
+    queues: Arc<Mutex<PeerQueues>>,
     bridge_targets: BridgeTargets,
 ) {
     while let Ok(Ok(length)) = timeout(2 * IDLE_TIMEOUT, stream.read_u32_le()).await {
@@ -153,6 +176,7 @@
         let Ok(envelope) = PeerEnvelope::decode(&message) else {
             return;
         };
+        queues.lock().unwrap_or_else(PoisonError::into_inner).record_sender(&envelope.sender);
         if inbox.send(envelope).is_err() {
             return;
         }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -134,6 +134,10 @@
         self.plan.replicas.get(index).or_else(|| self.plan.entries.get(index - replicas)).unwrap()
     }
 
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        (self.addresses[index], PEER_PORT).into()
+    }
+
     pub fn operator_address(&self, index: usize) -> SocketAddr {
         (self.addresses[index], OPERATOR_PORT).into()
     }
