A target's repeated refusal isn't taken for the response to another request

Reported by operators of other systems: a faulty target writes an earlier refusal once more on a kept connection, and callers are told 'not run' of requests that ran. Shown here for requests that may be repeated, which alone use kept connections: one that its target refused despite free slots goes to the same target once more, under the same id, perhaps on the connection of the refusal; the refusal written again was believed, and the caller got 503 although the request had run (test repeated_refusal_is_no_promise, failed before). Also reported: a target that closes within the head of its response, and a 200 that looks whole. Not possible here: test cut_head_is_no_response, which passed before.

--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -98,6 +98,7 @@
             last_attempt: AttemptTimes::default(),
             connect_timeout: ConnectTimeout::default(),
             refused_with_capacity: false,
+            retried_target: None,
             possible_runs: 0,
             may_have_run: false,
             is_bridged: false,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -179,7 +179,11 @@
         request.tried_targets.push(target.clone());
         let time_left = request.deadline.since(now);
         // Idle connections may be from before the entry was cut off.
-        let new_connection = request.route.repeat.is_at_most_once() || bridge.is_some();
+        // A target that writes its refusal once more must not have it taken for the response to the
+        // retry, which has the same id.
+        let new_connection = request.route.repeat.is_at_most_once()
+            || bridge.is_some()
+            || request.retried_target.as_ref() == Some(&target);
         request.is_bridged = bridge.is_some();
         self.log_events.push(DecisionEvent::RequestSent {
             request: request.id.clone(),
@@ -395,7 +399,7 @@
         let failure_rate = self.failure_rates.entry(request.service.clone()).or_default();
         *failure_rate += SERVICE_FAILURE_SMOOTHING * (sample - *failure_rate);
         if was_refused && *failure_rate >= SAME_TARGET_FAILURE_RATE {
-            request.tried_targets.pop();
+            request.retried_target = request.tried_targets.pop();
         }
     }
 
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -76,6 +76,8 @@
     pub(crate) connect_timeout: ConnectTimeout,
     /// Whether the last target that refused it reported free capacity.
     pub(crate) refused_with_capacity: bool,
+    /// The target that refused it and may get it again.
+    pub(crate) retried_target: Option<TargetName>,
     /// The number of attempts in which a target may have run it.
     pub(crate) possible_runs: u32,
     /// Whether a target may have run it.
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -61,6 +61,8 @@
     task: AbortHandle,
     /// The time that it took to connect; taken when the first response arrives.
     connect_time: Option<Duration>,
+    /// Whether it has carried a response.
+    is_reused: bool,
 }
 
 impl TargetConnection {
@@ -69,6 +71,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether it carried a response before the present one.
+    pub(super) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the time that it took to connect, or `None` if the connection has carried a response
     /// before.
     pub(crate) fn take_connect_time(&mut self) -> Option<Duration> {
@@ -243,7 +250,7 @@
     pub(crate) fn put_back(
         &self,
         target: &TargetName,
-        connection: TargetConnection,
+        mut connection: TargetConnection,
         idle_timeout: Option<Duration>,
     ) {
         let idle_time = idle_timeout.map_or(IDLE_TIMEOUT, |announced| {
@@ -252,6 +259,7 @@
         if connection.sender.is_closed() || idle_time.is_zero() {
             return;
         }
+        connection.is_reused = true;
         let mut idle_connections =
             self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle_connections.entry(target.clone()).or_default();
@@ -333,5 +341,5 @@
         // A failure is also returned to the request that the connection carries.
         let _ = connection.await;
     });
-    Some(TargetConnection { sender, task: task.abort_handle(), connect_time })
+    Some(TargetConnection { sender, task: task.abort_handle(), connect_time, is_reused: false })
 }
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -336,7 +336,15 @@
     let whole_request_at = caller.body.sent_at().map_or(sent_at, |at| at.max(sent_at));
     let processing = whole_request_at.elapsed();
     let (parts, body) = head.into_parts();
-    let class = headers::classify_response(parts.status, &parts.headers, id);
+    let class = match headers::classify_response(parts.status, &parts.headers, id) {
+        // It may be the repeated response to an earlier request.
+        ResponseClass::NotRun { .. }
+            if connection.is_reused() && !headers::names_request(&parts.headers) =>
+        {
+            ResponseClass::Untrusted
+        }
+        class => class,
+    };
     if class.is_from_target() {
         let notice = headers::target_notice(parts.status, &parts.headers);
         shell.with_state(|state, now| state.router.record_notice(&attempt.target, notice, now));
