Timeouts count the time that requests wait on the entry's link

Callers saw: 3,005 of 5,106 requests at their route's timeout without a response half a second later; one was sent to a target 6.9 s after its caller had sent it, with a timeout of 4 s, 0.17 s after its caller's own deadline. Cause: a timeout began when the entry had read the head, and ended when it wrote the response. What waits on the entry's link before and after, seconds on a full one, came on top. Change: the delay, measured by the replies of replicas, is taken off each request's time.

--- a/crates/core/src/traffic/admission.rs
+++ b/crates/core/src/traffic/admission.rs
@@ -81,6 +81,8 @@
         let plan = self.spillovers.get_mut(&service);
         let region = plan.and_then(|plan| plan.choose_region(key, now));
         let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+        // The caller's time began when it sent the request, and ends when the response has reached it.
+        let timeout = timeout.saturating_sub(self.link_delay(now));
         Ok(AdmittedRequest {
             id: head.id.to_owned(),
             service,
