A slow replica isn't taken for a slow link

Found when reading the change of timeouts: a replica that is slowed or busy replies late, and all of its followers would have shortened their timeouts by it. Where connections to targets of the region are quick, the link is ruled out.

--- a/crates/core/tests/link_delay.rs
+++ b/crates/core/tests/link_delay.rs
@@ -10,6 +10,7 @@
         request::{DispatchDecision, RequestHead},
         router::RequestRouter,
     },
+    hemlockspool_model::names::TargetName,
     std::time::Duration,
 };
 
@@ -57,6 +58,17 @@
     assert_eq!(time_left_at(&mut router, 2_000), Duration::from_secs(3));
 }
 
+/// Guards against timeouts that are shortened because the followed replica is slow.
+#[test]
+fn timeout_beside_slow_replica() {
+    let mut router = router();
+    for _ in 0..30 {
+        router.record_connect_time(&TargetName::new("t0"), Duration::from_millis(2), at(0));
+    }
+    router.record_round_trip(Duration::from_millis(1_100), at(0));
+    assert_eq!(time_left_at(&mut router, 100), Duration::from_secs(3));
+}
+
 /// Guards against requests that are sent to a target although their time is over, as the link has
 /// delayed them for longer.
 #[test]
