One limit for all connections that an entry keeps to targets

Change: KeptConnections in the core holds both kinds; beyond 64, the one that expires first is closed. Attempts say which connection they may use (any, unused, new), and retries and attempts through replicas say new: none is kept ready for them. The assertions on new_connection are the same on the new field.

--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -13,8 +13,8 @@
             peer_forwarding::bridge_timeout,
             placement::{PlacementContext, PlacementError, TargetChoice},
             request::{
-                AdmittedRequest, AttemptResult, DispatchDecision, RefusalReason, RequestRefusal,
-                TargetAttempt, TargetLoad, TransferredBytes,
+                AdmittedRequest, AttemptResult, ConnectionChoice, DispatchDecision, RefusalReason,
+                RequestRefusal, TargetAttempt, TargetLoad, TransferredBytes,
             },
             router::RequestRouter,
             target_state::TargetHealth,
@@ -178,12 +178,15 @@
         };
         request.tried_targets.push(target.clone());
         let time_left = request.deadline.since(now);
-        // Idle connections may be from before the entry was cut off.
-        // A target that writes its refusal once more must not have it taken for the response to the
-        // retry, which has the same id.
-        let new_connection = request.route.repeat.is_at_most_once()
-            || bridge.is_some()
-            || request.retried_target.as_ref() == Some(&target);
+        // Kept connections may be from before the entry was cut off. A target that writes its refusal
+        // once more must not have it taken for the response to the retry, which has the same id.
+        let is_retry_at_target = request.retried_target.as_ref() == Some(&target);
+        let connection = match request.route.repeat.is_at_most_once() {
+            _ if bridge.is_some() => ConnectionChoice::New,
+            true => ConnectionChoice::Unused,
+            false if is_retry_at_target => ConnectionChoice::New,
+            false => ConnectionChoice::Any,
+        };
         request.is_bridged = bridge.is_some();
         self.log_events.push(DecisionEvent::RequestSent {
             request: request.id.clone(),
@@ -203,7 +206,7 @@
             None => self.connect_meter.timeout(is_local, time_left, backlog),
         };
         let connect_timeout = request.connect_timeout.limit;
-        TargetAttempt { target, address, connect_timeout, time_left, new_connection, bridge }
+        TargetAttempt { target, address, connect_timeout, time_left, connection, bridge }
     }
 
     fn refuse(
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -15,7 +15,8 @@
 * [`fingerprint`] identifies requests that are sent again; [`quarantine`] refuses those that end the
   targets that run them.
 * [`body_budget`] limits the memory for callers' bodies, and [`body_pacer`] the pace at which they are
-  written. [`spare_plan`] decides to which targets unused connections are kept ready.
+  written. [`kept_connections`] limits the connections that stay open between requests, and
+  [`spare_plan`] decides to which targets unused ones are kept ready.
 * [`spillover`] plans the share of a region's requests that runs in other regions.
 * [`retry_budget`] limits retries; [`cold_limiter`] limits the requests to cold targets, and
   `target_limits` with `rate_share` those to targets that state a limit.
@@ -32,6 +33,7 @@
 mod connect_meter;
 mod dispatch;
 pub mod fingerprint;
+pub mod kept_connections;
 mod late_cause;
 mod link_delay;
 mod link_meter;
--- a/crates/core/src/traffic/request.rs
+++ b/crates/core/src/traffic/request.rs
@@ -110,6 +110,17 @@
     }
 }
 
+/// Which connection an attempt may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionChoice {
+    /// A kept one that has carried a request, or a new one.
+    Any,
+    /// One that has carried nothing: a kept one or a new one.
+    Unused,
+    /// A new one, for attempts that are too rare for unused ones to be kept ready for them.
+    New,
+}
+
 /// An attempt to be made at a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetAttempt {
@@ -122,8 +133,8 @@
     /// The time left before the deadline; it is sent to the target and is the timeout of the
     /// attempt.
     pub time_left: Duration,
-    /// Whether the attempt needs a new connection instead of an idle one.
-    pub new_connection: bool,
+    /// Which connection the attempt may use.
+    pub connection: ConnectionChoice,
     /// The peer address of the replica through which to connect, if this entry is cut off.
     pub bridge: Option<SocketAddr>,
 }
--- a/crates/core/tests/cut_off.rs
+++ b/crates/core/tests/cut_off.rs
@@ -10,8 +10,8 @@
         fleet::messages::{InstancePlace, LiveEntries},
         traffic::{
             request::{
-                AdmittedRequest, AttemptResult, DispatchDecision, PeerAttempt, RefusalReason,
-                RequestHead, RequestRefusal,
+                AdmittedRequest, AttemptResult, ConnectionChoice, DispatchDecision, PeerAttempt,
+                RefusalReason, RequestHead, RequestRefusal,
             },
             router::RequestRouter,
         },
@@ -284,7 +284,8 @@
         let DispatchDecision::Send(attempt) = router.dispatch(&mut request, now) else {
             panic!("request {key} isn't sent through a replica");
         };
-        assert!(attempt.new_connection, "an idle connection may be from before the cut");
+        let reason = "an idle connection may be from before the cut";
+        assert_eq!(attempt.connection, ConnectionChoice::New, "{reason}");
         bridges.extend(attempt.bridge);
         let elapsed = Duration::from_millis(1);
         let result = AttemptResult::NotSent;
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -9,9 +9,12 @@
 */
 
 use {
-    super::{request_body::AttemptBody, spare_connections::SpareConnections},
-    crate::{bridge, peer_link::set_unacked_timeout},
-    hemlockspool_core::traffic::request::TargetAttempt,
+    super::{pool_state::PoolState, request_body::AttemptBody},
+    crate::{bridge, peer_link::set_unacked_timeout, shell::moment_since},
+    hemlockspool_core::{
+        clock::Moment,
+        traffic::request::{ConnectionChoice, TargetAttempt},
+    },
     hemlockspool_model::names::TargetName,
     hyper::{
         Request, Response,
@@ -23,7 +26,7 @@
         collections::BTreeMap,
         io::ErrorKind,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -38,11 +41,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// The fraction of a target's announced idle timeout for which a connection is kept at most.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
-/// The maximum number of idle connections to one target.
-const IDLE_PER_TARGET_MAX: usize = 8;
-/// The maximum number of idle connections to all targets together. This many take 1.7 MB, and
-/// suffice to keep every connection that a busy entry used in the last two seconds.
-const IDLE_TOTAL_MAX: usize = 64;
 /// The size of a connection's read buffer, which must hold the head of a response. Without a fixed
 /// size, the buffer grows up to 400 KB for large responses and stays that large while the
 /// connection is kept.
@@ -71,6 +69,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether it carried a response before the present one.
     pub(super) fn is_reused(&self) -> bool {
         self.is_reused
@@ -89,11 +92,6 @@
     }
 }
 
-struct IdleConnection {
-    connection: TargetConnection,
-    expires_at: Instant,
-}
-
 /// The result of sending a request.
 pub(crate) enum SendResult {
     /// The head of a response and the connection that carries its body.
@@ -107,19 +105,20 @@
     },
 }
 
-/// The idle connections, which later requests reuse.
+/// The connections to targets that are kept for later requests.
 pub(crate) struct ConnectionPool {
     /// Addresses to connect to in place of targets' own.
     tunnels: BTreeMap<SocketAddr, SocketAddr>,
-    idle_connections: Mutex<BTreeMap<TargetName, Vec<IdleConnection>>>,
-    spares: SpareConnections,
+    state: Mutex<PoolState>,
+    /// The zero of the state's clock.
+    started: Instant,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections. A target whose address is a key of `tunnels` is connected
     /// to at the address that the key maps to.
     pub(crate) fn new(tunnels: BTreeMap<SocketAddr, SocketAddr>) -> Self {
-        Self { tunnels, idle_connections: Mutex::default(), spares: SpareConnections::new() }
+        Self { tunnels, state: Mutex::new(PoolState::new()), started: Instant::now() }
     }
 
     /// Returns the address to connect to for a target's address.
@@ -134,19 +133,19 @@
         request: Request<AttemptBody>,
     ) -> SendResult {
         let mut request = request;
-        if let Some(mut connection) = self.take_spare(attempt) {
+        if let Some(mut connection) = self.take_unused(attempt) {
             match connection.sender.try_send_request(request).await {
                 Ok(head) => return SendResult::Head(head, connection),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => {
-                        self.spares.record_loss(&attempt.target);
+                        self.lock_state().record_loss(&attempt.target, self.now());
                         return SendResult::Interrupted { reused: true };
                     }
                 },
             }
         }
-        while let Some(mut connection) = self.take_idle(attempt) {
+        while let Some(mut connection) = self.take_reused(attempt) {
             match connection.sender.try_send_request(request).await {
                 Ok(head) => return SendResult::Head(head, connection),
                 Err(mut error) => match error.take_message() {
@@ -197,11 +196,11 @@
 
     /// Takes an unused connection for a request that needs one, and has others made in the background
     /// for those that follow.
-    fn take_spare(self: &Arc<Self>, attempt: &TargetAttempt) -> Option<TargetConnection> {
-        if !attempt.new_connection || attempt.bridge.is_some() {
+    fn take_unused(self: &Arc<Self>, attempt: &TargetAttempt) -> Option<TargetConnection> {
+        if attempt.connection != ConnectionChoice::Unused {
             return None;
         }
-        let (spare, missing) = self.spares.take(&attempt.target);
+        let (taken, missing) = self.lock_state().take_unused(&attempt.target, self.now());
         for _ in 0..missing {
             let (pool, target) = (Arc::clone(self), attempt.target.clone());
             let address = attempt.address;
@@ -212,10 +211,10 @@
                 if let Some(connection) = &mut connection {
                     connection.take_connect_time();
                 }
-                pool.spares.finish_connecting(&target, connection);
+                pool.lock_state().finish_connecting(&target, connection, pool.now());
             });
         }
-        spare
+        taken
     }
 
     /// Connects to a target, not through a replica.
@@ -227,21 +226,16 @@
     ) -> Option<TargetConnection> {
         let connection = connect(self.route_to(address), limit, None).await?;
         if let Some(elapsed) = connection.connect_time {
-            self.spares.record_connected(target, elapsed);
+            self.lock_state().record_connected(target, elapsed);
         }
         Some(connection)
     }
 
-    fn take_idle(&self, attempt: &TargetAttempt) -> Option<TargetConnection> {
-        if attempt.new_connection {
+    fn take_reused(&self, attempt: &TargetAttempt) -> Option<TargetConnection> {
+        if attempt.connection != ConnectionChoice::Any {
             return None;
         }
-        let now = Instant::now();
-        let mut idle_connections =
-            self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle_connections.get_mut(&attempt.target)?;
-        connections.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
-        connections.pop().map(|idle| idle.connection)
+        self.lock_state().take_reused(&attempt.target, self.now())
     }
 
     /// Returns a connection to the pool after a complete response.
@@ -260,44 +254,20 @@
             return;
         }
         connection.is_reused = true;
-        let mut idle_connections =
-            self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle_connections.entry(target.clone()).or_default();
-        if connections.len() < IDLE_PER_TARGET_MAX {
-            connections.push(IdleConnection { connection, expires_at: Instant::now() + idle_time });
-        }
-        if idle_connections.values().map(Vec::len).sum::<usize>() > IDLE_TOTAL_MAX {
-            close_first_to_expire(&mut idle_connections);
-        }
+        self.lock_state().put_back(target, connection, idle_time, self.now());
     }
 
     /// Closes expired connections and returns the number of those that are left.
     pub(crate) fn close_expired(&self) -> usize {
-        let now = Instant::now();
-        let mut idle_connections =
-            self.idle_connections.lock().unwrap_or_else(PoisonError::into_inner);
-        idle_connections.retain(|_, connections| {
-            connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-            !connections.is_empty()
-        });
-        idle_connections.values().map(Vec::len).sum::<usize>() + self.spares.close_expired()
+        self.lock_state().close_expired(self.now())
     }
-}
 
-/// Closes the connection that expires first.
-fn close_first_to_expire(idle_connections: &mut BTreeMap<TargetName, Vec<IdleConnection>>) {
-    let expirations = idle_connections.iter_mut().filter_map(|(target, connections)| {
-        let (index, idle) =
-            connections.iter().enumerate().min_by_key(|(_, idle)| idle.expires_at)?;
-        Some((idle.expires_at, target.clone(), index))
-    });
-    if let Some((_, target, index)) = expirations.min()
-        && let Some(connections) = idle_connections.get_mut(&target)
-    {
-        connections.remove(index);
-        if connections.is_empty() {
-            idle_connections.remove(&target);
-        }
+    fn lock_state(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Moment {
+        moment_since(self.started)
     }
 }
 
