--- a/crates/core/tests/link_delay.rs
+++ b/crates/core/tests/link_delay.rs
@@ -69,6 +69,18 @@
     assert_eq!(time_left_at(&mut router, 100), Duration::from_secs(3));
 }
 
+/// Guards against requests that are held past their timeout because connections that were made before
+/// the link filled up seem to show that it isn't slow. While it is, new ones aren't made in time.
+#[test]
+fn timeout_includes_link_delay_after_fast_connections() {
+    let mut router = router();
+    for _ in 0..30 {
+        router.record_connect_time(&TargetName::new("t0"), Duration::from_millis(2), at(0));
+    }
+    router.record_round_trip(Duration::from_millis(1_100), at(3_000));
+    assert_eq!(time_left_at(&mut router, 3_100), Duration::from_millis(2_000));
+}
+
 /// Guards against requests that are sent to a target although their time is over, as the link has
 /// delayed them for longer.
 #[test]
