--- a/crates/core/tests/fleet_entry.rs
+++ b/crates/core/tests/fleet_entry.rs
@@ -323,17 +323,16 @@
     }
 }
 
-/// Guards against an entry that follows one replica after the other because its own link delays all
-/// replies: each sends it the list again.
-#[test]
-fn entry_keeps_replica_behind_full_link() {
+/// Runs an entry for 20 s whose link delays all answers of replicas by `delay_ms`. Returns the replicas
+/// that it follows, and the smallest delay that it knows of once the first answers must have arrived.
+fn run_behind_full_link(delay_ms: u64) -> (BTreeSet<SocketAddr>, Duration) {
     const REPLICAS: u16 = 27;
     const TICK_MS: u64 = 50;
     let mut entry = entry();
     entry.reduce(EntryEvent::Seeds((1..=REPLICAS).map(replica_address).collect()), at(0));
     let mut answers: BTreeMap<u64, Vec<(SocketAddr, FleetMessage)>> = BTreeMap::new();
-    let mut followed = BTreeSet::new();
-    for now_ms in (0..10_000).step_by(TICK_MS as usize) {
+    let (mut followed, mut least_delay) = (BTreeSet::new(), Duration::MAX);
+    for now_ms in (0..20_000).step_by(TICK_MS as usize) {
         for (peer, answer) in answers.remove(&now_ms).unwrap_or_default() {
             receive_from(&mut entry, peer, answer, at(now_ms));
         }
@@ -342,13 +341,37 @@
                 followed.insert(to);
             }
             if let Some(answer) = answer_heartbeat(&heartbeat, true, REPLICAS) {
-                answers.entry(now_ms + 1_200).or_default().push((to, answer));
+                answers.entry(now_ms + delay_ms).or_default().push((to, answer));
             }
         }
+        if now_ms > 2 * delay_ms {
+            least_delay = least_delay.min(entry.router.link_delay(at(now_ms)));
+        }
     }
+    (followed, least_delay)
+}
+
+/// Guards against an entry that follows one replica after the other because its own link delays all
+/// replies: each sends it the list again.
+#[test]
+fn entry_keeps_replica_behind_full_link() {
+    let (followed, _) = run_behind_full_link(1_200);
     assert_eq!(followed.len(), 1, "{followed:?}");
 }
 
+/// Guards against an entry that changes its replica again and again behind a link which delays replies
+/// for longer than they count as current, and against one that then knows of no delay.
+#[test]
+fn entry_keeps_replica_behind_long_delay() {
+    for delay_ms in [1_600, 2_900, 6_000] {
+        let (followed, least_delay) = run_behind_full_link(delay_ms);
+        // Until the first answer arrives, nothing tells a slow link from a replica that is gone.
+        let followed_max = 2 + delay_ms as usize / 1_500;
+        assert!(followed.len() <= followed_max, "{delay_ms} ms: {followed:?}");
+        assert!(least_delay >= Duration::from_millis(delay_ms - 100), "{delay_ms} ms");
+    }
+}
+
 /// Reads of the list by all entries of a fleet over a minute without replicas.
 struct RunWithoutReplicas {
     /// Calls to the platform.
