--- a/crates/core/src/fleet/entry/replica_choice.rs
+++ b/crates/core/src/fleet/entry/replica_choice.rs
@@ -5,8 +5,7 @@
 keeps an old state. Trying the other replicas one after the other takes a timeout for each that is cut
 off, too: half of them may be. An entry without a current replica therefore asks all of them at once,
 and follows one of those that answer first. Replicas of older builds don't answer; for their sake, the
-entry also moves on to the next candidate after a timeout. On a saturated link the answers of all replicas
-are late, and no other replica would be better, so the timeout is longer by their delay.
+entry also moves on to the next candidate after a timeout.
 */
 
 use {
@@ -34,8 +33,6 @@
     preference: u64,
     /// The replicas that answered as current since the last choice.
     answered: BTreeSet<SocketAddr>,
-    /// The last round trip to any replica, and the time when it was measured.
-    last_trip: (Duration, Moment),
 }
 
 /// The replica that an entry follows.
@@ -43,10 +40,8 @@
 struct FollowedReplica {
     peer: SocketAddr,
     since: Moment,
-    /// The time of its last reply as a current replica in time.
+    /// The time of its last reply as a current replica.
     last_current_reply: Option<Moment>,
-    /// The time of its last reply as a current replica, however late.
-    last_late_reply: Option<Moment>,
     /// The time of the latest heartbeat to which it has replied; zero if it hasn't.
     last_reply: Moment,
     /// Whether its last reply said that it isn't current.
@@ -54,30 +49,18 @@
 }
 
 impl FollowedReplica {
-    /// Returns the time since its last reply as a current replica in time, or since the entry followed
-    /// it.
+    /// Returns the time since its last reply as a current replica, or since the entry followed it.
     fn silence(&self, now: Moment) -> Duration {
         now.since(self.last_current_reply.unwrap_or(self.since))
     }
-
-    /// Returns the time since its last reply as a current replica, however late, or since the entry
-    /// followed it.
-    fn late_silence(&self, now: Moment) -> Duration {
-        now.since(self.last_late_reply.unwrap_or(self.since))
-    }
 }
 
 impl ReplicaChoice {
     /// Returns the choice of an entry that follows no replica yet.
     pub(super) fn new(entry_name: &str) -> Self {
         let preference = stable_hash(entry_name.as_bytes());
-        Self {
-            followed: None,
-            candidate_index: preference,
-            preference,
-            answered: BTreeSet::new(),
-            last_trip: (Duration::ZERO, Moment(0)),
-        }
+        let answered = BTreeSet::new();
+        Self { followed: None, candidate_index: preference, preference, answered }
     }
 
     /// Returns the replica that the entry follows.
@@ -99,29 +82,16 @@
 
     /// Records a reply of the followed replica to the heartbeat sent at `echo`.
     pub(super) fn record_reply(&mut self, is_current: bool, echo: Moment, now: Moment) {
-        let trip = now.since(echo);
-        self.last_trip = (trip, now);
         let Some(followed) = &mut self.followed else { return };
         followed.last_reply = followed.last_reply.max(echo);
         followed.is_outdated = !is_current;
-        if is_current {
-            followed.last_late_reply = Some(now);
-        }
-        if is_current && trip < REPLICA_TIMEOUT {
+        if is_current && now.since(echo) < REPLICA_TIMEOUT {
             followed.last_current_reply = Some(now);
         }
     }
 
-    /// Records the answer of a replica that was asked at `echo` whether it is current.
-    pub(super) fn record_answer(
-        &mut self,
-        peer: SocketAddr,
-        is_current: bool,
-        echo: Moment,
-        now: Moment,
-    ) {
-        let trip = now.since(echo);
-        self.last_trip = (trip, now);
+    /// Records the answer of a replica that was asked whether it is current.
+    pub(super) fn record_answer(&mut self, peer: SocketAddr, is_current: bool, trip: Duration) {
         if is_current && trip < REPLICA_TIMEOUT {
             self.answered.insert(peer);
         }
@@ -144,7 +114,7 @@
             return self.follow(peer, now);
         }
         if let Some(followed) = self.followed {
-            if followed.late_silence(now) < self.patience(now) {
+            if followed.silence(now) < REPLICA_TIMEOUT {
                 return None;
             }
             self.candidate_index = self.candidate_index.wrapping_add(1);
@@ -153,20 +123,12 @@
         self.follow(candidates.iter().nth(index).copied()?, now)
     }
 
-    /// Returns the time to wait for a reply of the followed replica as current.
-    fn patience(&self, now: Moment) -> Duration {
-        let (trip, measured_at) = self.last_trip;
-        let is_recent = now.since(measured_at) < REPLICA_TIMEOUT;
-        if is_recent { REPLICA_TIMEOUT.max(trip + SEARCH_DELAY) } else { REPLICA_TIMEOUT }
-    }
-
     fn follow(&mut self, peer: SocketAddr, now: Moment) -> Option<SocketAddr> {
         let is_new = self.followed() != Some(peer);
         self.followed = Some(FollowedReplica {
             peer,
             since: now,
             last_current_reply: None,
-            last_late_reply: None,
             last_reply: Moment(0),
             is_outdated: false,
         });
--- a/crates/core/src/fleet/entry/replies.rs
+++ b/crates/core/src/fleet/entry/replies.rs
@@ -31,8 +31,9 @@
         match *message {
             FleetMessage::PulseReply(reply) => self.handle_heartbeat_reply(sender.peer, reply, now),
             FleetMessage::SearchReply(SearchReply { echo, current }) => {
-                self.router.record_round_trip(now.since(echo), now);
-                self.choice.record_answer(sender.peer, current, echo, now);
+                let round_trip = now.since(echo);
+                self.router.record_round_trip(round_trip, now);
+                self.choice.record_answer(sender.peer, current, round_trip);
                 Vec::new()
             }
             FleetMessage::Published(state) => self.apply_published(state, now),
--- a/crates/core/src/traffic/connect_meter.rs
+++ b/crates/core/src/traffic/connect_meter.rs
@@ -7,7 +7,7 @@
 worse. A single large body delays the packets of a few connections in the same way.
 */
 
-use {crate::clock::Moment, std::time::Duration};
+use std::time::Duration;
 
 /// The default connect timeout: allows two round trips to the farthest region and the delay caused
 /// by a lost packet in a near one.
@@ -40,22 +40,17 @@
 /// saturated link.
 const LOCAL_MEAN_DEFAULT_MS: f64 = 100.0;
 
-/// The time after a connection for which its connect time shows the state of the link.
-const LOCAL_TIME_TTL: Duration = Duration::from_millis(1_000);
-
 /// The fraction of this entry's attempts, at all targets, that timed out connecting, and the mean
 /// connect time within its region. Attempts on reused connections count as connected in time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectMeter {
     timeout_rate: f64,
     local_mean_ms: f64,
-    /// The time of the last connection to a target of the entry's region.
-    local_connected_at: Option<Moment>,
 }
 
 impl Default for ConnectMeter {
     fn default() -> Self {
-        Self { timeout_rate: 0.0, local_mean_ms: LOCAL_MEAN_DEFAULT_MS, local_connected_at: None }
+        Self { timeout_rate: 0.0, local_mean_ms: LOCAL_MEAN_DEFAULT_MS }
     }
 }
 
@@ -77,8 +72,7 @@
     }
 
     /// Records the time that a connection to a target of the entry's region took.
-    pub(crate) fn record_local_time(&mut self, elapsed: Duration, now: Moment) {
-        self.local_connected_at = Some(now);
+    pub(crate) fn record_local_time(&mut self, elapsed: Duration) {
         self.local_mean_ms +=
             LOCAL_MEAN_SMOOTHING * (elapsed.as_secs_f64() * 1_000.0 - self.local_mean_ms);
     }
@@ -88,13 +82,6 @@
         self.local_mean_ms <= UNCONGESTED_LOCAL_MEAN_MS && !self.is_link_saturated()
     }
 
-    /// Returns whether recent connections show that this entry's link delays no packets. The mean
-    /// alone doesn't: connections that time out aren't part of it.
-    pub(crate) fn shows_fast_link(&self, now: Moment) -> bool {
-        let is_recent = self.local_connected_at.is_some_and(|at| now.since(at) < LOCAL_TIME_TTL);
-        is_recent && self.is_link_uncongested()
-    }
-
     /// Returns whether connections time out regardless of the target.
     pub(crate) fn is_link_saturated(&self) -> bool {
         self.timeout_rate >= SATURATED_TIMEOUT_RATE
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -269,7 +269,7 @@
         self.record_connected(now);
         let state = self.targets.get(target);
         if state.is_some_and(|state| state.region == self.settings.region) {
-            self.connect_meter.record_local_time(elapsed, now);
+            self.connect_meter.record_local_time(elapsed);
         }
     }
 
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -117,7 +117,7 @@
     /// Returns the time that packets wait on this entry's link, in both directions together; zero if
     /// it isn't known, or if connections to targets show that the replica is slow and not the link.
     pub fn link_delay(&self, now: Moment) -> Duration {
-        if self.connect_meter.shows_fast_link(now) {
+        if self.connect_meter.is_link_uncongested() {
             return Duration::ZERO;
         }
         self.link_delay.current(now)
