--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -143,14 +143,23 @@
 pub struct Reader {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// The time at which reading fails.
+    deadline: Option<Instant>,
 }
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), deadline: None }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
+        if let Some(deadline) = self.deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            self.stream.set_read_timeout(Some(left))?;
+        }
         let mut chunk = [0; 16 << 10];
         let count = self.stream.read(&mut chunk)?;
         self.buffer.extend_from_slice(&chunk[..count]);
@@ -246,7 +255,7 @@
     let deadline = Instant::now() + limit;
     let stream = TcpStream::connect_timeout(&address, limit.min(Duration::from_secs(1)))?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_millis(20)))?;
+    stream.set_write_timeout(Some(limit))?;
     let mut text = format!("{method} {path} HTTP/1.1\r\n");
     if !headers.iter().any(|(name, _)| *name == "host") {
         let _ = write!(text, "host: {address}\r\n");
@@ -260,7 +269,8 @@
     text.push_str("connection: close\r\n\r\n");
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(body);
-    let mut reader = Reader::new(DeadlineStream::wrap(stream, deadline)?);
+    let mut reader = Reader::new(stream);
+    reader.deadline = Some(deadline);
     reader.stream().write_all(&bytes)?;
     let Some(mut message) = reader.head()? else {
         return Err(io::ErrorKind::UnexpectedEof.into());
@@ -270,18 +280,6 @@
     Ok(message)
 }
 
-/// Sets the read timeout of a stream to the time that is left.
-struct DeadlineStream;
-
-impl DeadlineStream {
-    fn wrap(stream: TcpStream, deadline: Instant) -> io::Result<TcpStream> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
-        stream.set_write_timeout(Some(left.max(Duration::from_millis(1))))?;
-        Ok(stream)
-    }
-}
-
 /// Serves connections with a handler, each in its own thread. The handler returns whether the
 /// connection stays open.
 pub fn serve<F>(listener: TcpListener, handler: F)
