--- a/review/stand-ins/src/bin/bridge.rs
+++ b/review/stand-ins/src/bin/bridge.rs
@@ -3,9 +3,9 @@
 
 use {
     review_stand_ins::{
-        CutProxy, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message, NOT_RUN, REQUEST_ID,
-        DEADLINE, DOMAINS, Reader, Record, STAMP, call, list_record, response, route, run_case, serve, serve_list,
-        table, trouble,
+        CutProxy, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message,
+        NOT_RUN, REQUEST_ID, Reader, Record, SIGTERM, STAMP, call, list_record, response, route,
+        run_case, serve, serve_list, table, trouble,
     },
     std::{
         collections::BTreeMap,
@@ -92,8 +92,11 @@
     }
     let proxies: Vec<CutProxy> =
         targets.iter().map(|target| CutProxy::start(target.address)).collect();
-    let tunnels: BTreeMap<SocketAddr, SocketAddr> =
-        targets.iter().zip(&proxies).map(|(target, proxy)| (target.address, proxy.address)).collect();
+    let tunnels: BTreeMap<SocketAddr, SocketAddr> = targets
+        .iter()
+        .zip(&proxies)
+        .map(|(target, proxy)| (target.address, proxy.address))
+        .collect();
     let records: Vec<(String, String)> = targets
         .iter()
         .map(|target| {
@@ -178,7 +181,7 @@
     for replica in BRIDGES {
         if trouble() {
             record.line(&format!("SIGTERM to replica {replica}"));
-            fleet.signal(replica, "TERM");
+            fleet.signal(replica, SIGTERM);
             while !fleet.has_ended(replica) && cut_at.elapsed() < CUT {
                 thread::sleep(Duration::from_millis(10));
             }
--- a/review/stand-ins/src/bin/cold.rs
+++ b/review/stand-ins/src/bin/cold.rs
@@ -2,9 +2,9 @@
 
 use {
     review_stand_ins::{
-        COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, NOT_RUN,
-        REPLICAS, REQUEST_ID, Reader, Record, STAMP, Message, call, cannot_run, list_record, response, route,
-        run_case, serve_list, table, trouble, wait,
+        COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message,
+        NOT_RUN, REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record,
+        response, route, run_case, serve_list, table, trouble, wait,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -185,10 +185,8 @@
             .collect()
     });
     let fleet = Fleet::start(list, BTreeMap::new());
-    let routes = [
-        route("look", "/look/", "safe", SERVICE),
-        route("pay", "/pay/", "never", SERVICE),
-    ];
+    let routes =
+        [route("look", "/look/", "safe", SERVICE), route("pay", "/pay/", "never", SERVICE)];
     fleet.publish(0, &table(2, &routes, SERVICE, COLD_PER_S));
     fleet.wait_ready();
     record.line(&format!("{} entries and {REPLICAS} replicas are ready", ENTRIES.len()));
@@ -265,7 +263,9 @@
     let payments = new.payments.lock().unwrap();
     let lost = payments.iter().filter(|id| !served.contains(*id)).count();
     record.line(&format!("{lost} payments that it had begun to run were not answered"));
-    record.line(&format!("at most {most} requests in a second while it was cold; the bound is {BOUND}"));
+    record.line(&format!(
+        "at most {most} requests in a second while it was cold; the bound is {BOUND}"
+    ));
     if new.arrivals.lock().unwrap().len() < 20 {
         cannot_run("the backend got hardly any request");
     }
--- a/review/stand-ins/src/bin/deadly.rs
+++ b/review/stand-ins/src/bin/deadly.rs
@@ -4,8 +4,8 @@
 use {
     review_stand_ins::{
         DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message, NOT_RUN,
-        REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record, response, route,
-        run_case, serve_list, table, trouble,
+        REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record, response,
+        route, run_case, serve_list, table, trouble,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/review/stand-ins/src/bin/evacuation.rs
+++ b/review/stand-ins/src/bin/evacuation.rs
@@ -3,9 +3,9 @@
 
 use {
     review_stand_ins::{
-        DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, NOT_RUN, REQUEST_ID,
-        REPLICAS, Record, STAMP, call, cannot_run, list_record, response, route, run_case, serve,
-        serve_list, table, trouble,
+        DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, NOT_RUN, REPLICAS,
+        REQUEST_ID, Record, SIGCONT, SIGSTOP, STAMP, call, cannot_run, list_record, response,
+        route, run_case, serve, serve_list, table, trouble,
     },
     std::{
         collections::BTreeMap,
@@ -40,7 +40,9 @@
     let name = if begins { "POST" } else { "DELETE" };
     for replica in replicas {
         let status = fleet.evacuate(*replica, ZONE, begins);
-        record.line(&format!("operator: {name} /evacuations/{ZONE} at replica {replica}: {status:?}"));
+        record.line(&format!(
+            "operator: {name} /evacuations/{ZONE} at replica {replica}: {status:?}"
+        ));
         if status == Some(200) {
             return Instant::now();
         }
@@ -131,7 +133,7 @@
     let frozen_at = Instant::now();
     if trouble() {
         record.line(&format!("replica {FROZEN} freezes"));
-        fleet.signal(FROZEN, "STOP");
+        fleet.signal(FROZEN, SIGSTOP);
         thread::sleep(Duration::from_millis(200));
     }
     order(&fleet, record, false, &order_of(FROZEN));
@@ -139,7 +141,7 @@
     let acknowledged_at = order(&fleet, record, true, &OTHERS);
     thread::sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
     if trouble() {
-        fleet.signal(FROZEN, "CONT");
+        fleet.signal(FROZEN, SIGCONT);
         record.line(&format!("replica {FROZEN} wakes"));
     }
     // From here on every machine is in touch again, and the evacuation is in force.
@@ -153,7 +155,8 @@
     let arrivals = arrivals.lock().unwrap();
     let late = arrivals.iter().filter(|(at, _)| *at > judged_from).count();
     record.line(&format!("answers by status: {:?}", counts.lock().unwrap()));
-    record.line(&format!("{late} requests reached the evacuated zone, of {} in all", arrivals.len()));
+    record
+        .line(&format!("{late} requests reached the evacuated zone, of {} in all", arrivals.len()));
     late > 0
 }
 
--- a/review/stand-ins/src/bin/rolled.rs
+++ b/review/stand-ins/src/bin/rolled.rs
@@ -3,9 +3,9 @@
 
 use {
     review_stand_ins::{
-        COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message, NOT_RUN,
-        REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record, response, route,
-        run_case, serve_list, table, trouble,
+        COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message,
+        NOT_RUN, REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record,
+        response, route, run_case, serve_list, table, trouble,
     },
     std::{
         collections::BTreeMap,
@@ -148,7 +148,10 @@
             let cold = target.cold_ms();
             let record = list_record(target.service, target.address, target.domain, SLOTS, cold);
             let state = if target.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
-            (target.name.clone(), record.replace("\"state\":\"ready\"", &format!("\"state\":\"{state}\"")))
+            (
+                target.name.clone(),
+                record.replace("\"state\":\"ready\"", &format!("\"state\":\"{state}\"")),
+            )
         };
         listed.iter().map(line).collect()
     });
@@ -233,7 +236,9 @@
         (all, f64::from(served) / f64::from(all.max(1)))
     };
     let ((_, first), (requests, later)) = (share("/look/"), share("/desk/"));
-    record.line(&format!("served: {first:.3} on the first route, {later:.3} of {requests} on the added one"));
+    record.line(&format!(
+        "served: {first:.3} on the first route, {later:.3} of {requests} on the added one"
+    ));
     if first < 0.5 {
         cannot_run("the first route is hardly served");
     }
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -29,6 +29,16 @@
 pub const DEADLINE: &str = "x-hemlockspool-deadline-ms";
 pub const KEY: &str = "x-hemlockspool-affinity-key";
 
+/// Signals, with their numbers on Linux.
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+unsafe extern "C" {
+    /// The system's C function.
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 const PEER_PORT: u16 = 7_720;
 const METRICS_PORT: u16 = 7_735;
 const OPERATOR_PORT: u16 = 8_166;
@@ -480,7 +490,8 @@
     }
 
     pub fn log(&self, index: usize) -> String {
-        fs::read_to_string(self.folder.join(format!("{}.log", self.name(index)))).unwrap_or_default()
+        fs::read_to_string(self.folder.join(format!("{}.log", self.name(index))))
+            .unwrap_or_default()
     }
 
     fn write_settings(&self, index: usize, founding: bool) -> PathBuf {
@@ -493,7 +504,8 @@
         };
         let domains: Vec<String> =
             DOMAINS.iter().map(|(name, region)| format!("\"{name}\":\"{region}\"")).collect();
-        let seeds: Vec<String> = (0..3).map(|seed| format!("\"{}\"", self.operators(seed))).collect();
+        let seeds: Vec<String> =
+            (0..3).map(|seed| format!("\"{}\"", self.operators(seed))).collect();
         let data = match is_replica {
             true => format!("{:?}", self.folder.join(format!("{}.data", self.name(index)))),
             false => "null".to_owned(),
@@ -550,12 +562,14 @@
         children.push((name, child));
     }
 
-    /// Sends a signal (`TERM`, `KILL`, `STOP`, `CONT`) to a process.
-    pub fn signal(&self, index: usize, signal: &str) {
+    /// Sends a signal to a process.
+    pub fn signal(&self, index: usize, signal: i32) {
         let name = self.name(index);
         let children = CHILDREN.lock().unwrap();
         let (_, child) = children.iter().find(|(other, _)| *other == name).expect("it was started");
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        // The process is a child that hasn't been waited for, so its id isn't reused.
+        let result = unsafe { kill(child.id() as i32, signal) };
+        assert_eq!(result, 0, "the signal was not sent");
     }
 
     /// Returns whether a process has ended.
@@ -570,13 +584,17 @@
     pub fn publish(&self, base: u64, table: &str) {
         let deadline = Instant::now() + Duration::from_secs(20);
         for replica in (0..REPLICAS).cycle() {
-            let headers = [
-                ("if-match", base.to_string()),
-                ("content-type", "application/json".to_owned()),
-            ];
+            let headers =
+                [("if-match", base.to_string()), ("content-type", "application/json".to_owned())];
             let second = Duration::from_secs(1);
-            let result =
-                call(self.operators(replica), "PUT", "/v1/table", &headers, table.as_bytes(), second);
+            let result = call(
+                self.operators(replica),
+                "PUT",
+                "/v1/table",
+                &headers,
+                table.as_bytes(),
+                second,
+            );
             if result.is_ok_and(|message| message.status() == 200) {
                 return;
             }
