--- a/review/stand-ins/src/bin/cold.rs
+++ b/review/stand-ins/src/bin/cold.rs
@@ -46,7 +46,7 @@
     running: AtomicU32,
     up: AtomicBool,
     starts: Mutex<Vec<Instant>>,
-    arrivals: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<(Instant, String)>>,
     /// The requests that may run at most once and that it has begun to run.
     payments: Mutex<Vec<String>>,
     streams: Mutex<Vec<TcpStream>>,
@@ -124,9 +124,9 @@
                 self.payments.lock().unwrap().push(id.clone());
             }
             let mut arrivals = self.arrivals.lock().unwrap();
-            arrivals.push(now);
-            let is_recent = |at: &&Instant| now.duration_since(**at) < Duration::from_secs(1);
-            let recent = arrivals.iter().filter(is_recent).count();
+            arrivals.push((now, id.clone()));
+            let is_recent = |at: &Instant| now.duration_since(*at) < Duration::from_secs(1);
+            let recent = arrivals.iter().filter(|(at, _)| is_recent(at)).count();
             if !cold.is_zero() && recent > CRASH_AT && self.up.load(Ordering::SeqCst) {
                 record.line(&format!("{} crashes under {recent} requests in a second", self.name));
                 self.crash();
@@ -194,11 +194,12 @@
     let stop = Arc::new(AtomicBool::new(false));
     let counts: Arc<Mutex<BTreeMap<u16, u32>>> = Arc::default();
     let served: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let sent: Arc<Mutex<BTreeMap<String, Instant>>> = Arc::default();
     let callers: Vec<_> = (0..3 * ENTRIES.len())
         .map(|caller| {
             let address = fleet.callers(caller % ENTRIES.len());
             let (stop, counts) = (Arc::clone(&stop), Arc::clone(&counts));
-            let served = Arc::clone(&served);
+            let (served, sent) = (Arc::clone(&served), Arc::clone(&sent));
             let (method, path, body): (_, _, &[u8]) = match caller % 2 {
                 0 => ("GET", "/look/x", b""),
                 _ => ("POST", "/pay/x", b"a payment"),
@@ -215,6 +216,7 @@
                         (DEADLINE, "2000".to_owned()),
                     ];
                     let limit = Duration::from_secs(2);
+                    sent.lock().unwrap().insert(id.clone(), Instant::now());
                     let result = call(address, method, path, &headers, body, limit);
                     let status = result.map_or(0, |message| message.status());
                     if status == 200 {
@@ -251,12 +253,16 @@
     stop.store(true, Ordering::SeqCst);
     callers.into_iter().for_each(|caller| caller.join().unwrap());
     record.line(&format!("answers by status: {:?}", counts.lock().unwrap()));
-    let cold: Vec<Instant> = (new.arrivals.lock().unwrap().iter())
-        .filter(|at| !new.cold_left(**at).is_zero())
-        .copied()
+    let sent = sent.lock().unwrap();
+    let arrivals = new.arrivals.lock().unwrap();
+    let cold: Vec<(Instant, Instant)> = (arrivals.iter())
+        .filter(|(at, _)| !new.cold_left(*at).is_zero())
+        .filter_map(|(at, id)| Some((*sent.get(id)?, *at)))
         .collect();
-    let most = cold.iter().map(|first| {
-        cold.iter().filter(|at| **at >= *first && **at < *first + Duration::from_secs(1)).count()
+    // Counted are requests that were sent and arrived inside the second.
+    let most = cold.iter().map(|(first, _)| {
+        let end = *first + Duration::from_secs(1);
+        cold.iter().filter(|(sent_at, at)| sent_at >= first && *at < end).count()
     });
     let most = most.max().unwrap_or(0);
     let served = served.lock().unwrap();
@@ -266,7 +272,7 @@
     record.line(&format!(
         "at most {most} requests in a second while it was cold; the bound is {BOUND}"
     ));
-    if new.arrivals.lock().unwrap().len() < 20 {
+    if arrivals.len() < 20 {
         cannot_run("the backend got hardly any request");
     }
     most as f64 > BOUND
--- a/review/stand-ins/src/bin/deadly.rs
+++ b/review/stand-ins/src/bin/deadly.rs
@@ -30,9 +30,11 @@
 const DOWN: Duration = Duration::from_secs(3);
 /// The number of times that the caller sends it at once, beside the first (`retry_abuse`, x = 3).
 const REPEATS: usize = 3;
-/// The pause between two rounds of the caller, and their number.
+/// The pause between two rounds of the caller, their number, and that of the rounds with repeats, which
+/// take less than the 5.5 s of the site file's `retry_abuse`.
 const PAUSE: Duration = Duration::from_secs(4);
 const ROUNDS: usize = 4;
+const ROUNDS_AT_ONCE: usize = 2;
 /// The bound `contact` of the site.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -197,8 +199,9 @@
     thread::sleep(Duration::from_secs(2));
 
     for round in 0..ROUNDS {
-        record.line(&format!("the caller sends {DEADLY} {} times at once", 1 + REPEATS));
-        let sends: Vec<_> = (0..=REPEATS)
+        let repeats = if round < ROUNDS_AT_ONCE { REPEATS } else { 0 };
+        record.line(&format!("the caller sends {DEADLY} {} times at once", 1 + repeats));
+        let sends: Vec<_> = (0..=repeats)
             .map(|repeat| {
                 let address = fleet.callers((round + 2 * repeat) % ENTRIES.len());
                 let record = record.clone();
--- a/review/stand-ins/src/bin/endless.rs
+++ b/review/stand-ins/src/bin/endless.rs
@@ -12,7 +12,7 @@
         net::TcpListener,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -27,11 +27,17 @@
 const CALLER_WAITS: Duration = Duration::from_millis(2_500);
 /// Of the answers of every second backend, one in so many has no end: the 0.02 of the site's `garble`.
 const ONE_IN: u32 = 50;
+/// The time at which backends get into trouble, and for how long: less than the 5.5 s of the site's `garble`.
+const TROUBLE_AT: Duration = Duration::from_secs(3);
+const TROUBLE_FOR: Duration = Duration::from_secs(5);
+/// The time for which callers send.
+const SENDS_FOR: Duration = Duration::from_secs(12);
 /// The longest time for which a backend writes, if its caller never closes.
 const WRITES_FOR: Duration = Duration::from_secs(20);
 
 fn case(record: &Record) -> bool {
     let mut records = Vec::new();
+    let in_trouble = Arc::new(AtomicBool::new(false));
     for index in 0..TARGETS {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().unwrap();
@@ -39,6 +45,7 @@
         let domain = DOMAINS[index % DOMAINS.len()].0;
         records.push((name.clone(), list_record(SERVICE, address, domain, SLOTS, 0)));
         let (running, answers, log) = (AtomicU32::new(0), AtomicU32::new(0), record.clone());
+        let in_trouble = Arc::clone(&in_trouble);
         serve(listener, move |message, reader| {
             let mut request = message.clone();
             reader.body(&mut request, false)?;
@@ -57,7 +64,8 @@
             let load = running.fetch_add(1, Ordering::SeqCst);
             thread::sleep(Duration::from_millis(20));
             let load_text = format!("{load},0,{SLOTS}");
-            if trouble() && index < TARGETS / 2 && number % ONE_IN == ONE_IN - 1 {
+            let is_bad = index < TARGETS / 2 && number % ONE_IN == ONE_IN - 1;
+            if is_bad && in_trouble.load(Ordering::SeqCst) {
                 log.line(&format!("{name} answers {id} without end"));
                 let head = format!(
                     "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{STAMP}: 3e1b.07\r\n\
@@ -96,13 +104,13 @@
     type Ended = (String, Duration, bool);
     let ended: Arc<Mutex<Vec<Ended>>> = Arc::default();
     let begun = Instant::now();
-    let callers: Vec<_> = (0..2 * ENTRIES.len())
+    let callers: Vec<_> = (0..6 * ENTRIES.len())
         .map(|caller| {
             let address = fleet.callers(caller % ENTRIES.len());
             let (ended, log) = (Arc::clone(&ended), record.clone());
             thread::spawn(move || {
                 let mut number = 0;
-                while begun.elapsed() < Duration::from_secs(20) {
+                while begun.elapsed() < SENDS_FOR {
                     number += 1;
                     let id = format!("{caller:04x}{number:012x}");
                     let headers = [
@@ -129,6 +137,14 @@
             })
         })
         .collect();
+    thread::sleep(TROUBLE_AT);
+    if trouble() {
+        record.line("backends are in trouble");
+        in_trouble.store(true, Ordering::SeqCst);
+        thread::sleep(TROUBLE_FOR);
+        in_trouble.store(false, Ordering::SeqCst);
+        record.line("backends are sound again");
+    }
     callers.into_iter().for_each(|caller| caller.join().unwrap());
     let ended = ended.lock().unwrap();
     let is_late = |took: &Duration, by: Duration| *took > TIMEOUT + by;
