--- a/review/stand-ins/src/bin/cold.rs
+++ b/review/stand-ins/src/bin/cold.rs
@@ -4,7 +4,7 @@
     review_stand_ins::{
         COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message,
         NOT_RUN, REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record,
-        response, route, run_case, serve_list, table, trouble, wait,
+        response, route, run_case, serve_list, table, target_address, trouble, wait,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -146,11 +146,10 @@
 
 fn case(record: &Record) -> bool {
     let target = |index: usize, old: bool| {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().unwrap();
+        let address = target_address(index);
         Arc::new(Target {
-            name: format!("i-{index:02}{:05}", address.port()),
-            domain: DOMAINS[index % DOMAINS.len()].0,
+            name: format!("i-{index:02}41{:05}", 17 * index),
+            domain: DOMAINS[index % TARGETS % DOMAINS.len()].0,
             address,
             running: AtomicU32::new(0),
             up: AtomicBool::new(false),
@@ -163,7 +162,7 @@
     };
     let mut targets: Vec<Arc<Target>> = (0..TARGETS).map(|index| target(index, true)).collect();
     targets.iter().for_each(|target| target.start(record));
-    let new = target(0, false);
+    let new = target(TARGETS, false);
     targets.push(Arc::clone(&new));
     let reads: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let (listed, read_log, log) = (targets.clone(), Arc::clone(&reads), record.clone());
--- a/review/stand-ins/src/bin/deadly.rs
+++ b/review/stand-ins/src/bin/deadly.rs
@@ -5,7 +5,7 @@
     review_stand_ins::{
         DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message, NOT_RUN,
         REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record, response,
-        route, run_case, serve_list, table, trouble,
+        route, run_case, serve_list, table, target_address, trouble,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -51,6 +51,8 @@
 struct Target {
     name: String,
     address: SocketAddr,
+    /// What its runs of the deadly request take in addition, in milliseconds.
+    extra_ms: u64,
     running: AtomicU32,
     up: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
@@ -118,7 +120,7 @@
         if request.path() == DEADLY {
             self.seen.arrivals.lock().unwrap().push(Instant::now());
             self.record.line(&format!("{} begins to run {id} for {DEADLY}", self.name));
-            thread::sleep(RUNS_FOR + Duration::from_millis(u64::from(self.address.port() % 21)));
+            thread::sleep(RUNS_FOR + Duration::from_millis(self.extra_ms));
             if trouble() {
                 self.crash();
                 return Err(io::ErrorKind::ConnectionReset.into());
@@ -147,14 +149,14 @@
     let mut targets = Vec::new();
     let mut records = Vec::new();
     for index in 0..TARGETS {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().unwrap();
-        let name = format!("i-{index:02}{:05}", address.port());
+        let address = target_address(index);
+        let name = format!("i-{index:02}41{:05}", 17 * index);
         let domain = DOMAINS[index % DOMAINS.len()].0;
         records.push((name.clone(), list_record(SERVICE, address, domain, SLOTS, 0)));
         targets.push(Arc::new(Target {
             name,
             address,
+            extra_ms: index as u64 * 5 % 21,
             running: AtomicU32::new(0),
             up: AtomicBool::new(false),
             streams: Mutex::default(),
--- a/review/stand-ins/src/bin/rolled.rs
+++ b/review/stand-ins/src/bin/rolled.rs
@@ -5,7 +5,7 @@
     review_stand_ins::{
         COLD, DEADLINE, DOMAINS, ENTRIES, Fleet, HOST, INSTANCE, INTENDED, KEY, LOAD, Message,
         NOT_RUN, REPLICAS, REQUEST_ID, Reader, Record, STAMP, call, cannot_run, list_record,
-        response, route, run_case, serve_list, table, trouble,
+        response, route, run_case, serve_list, table, target_address, trouble,
     },
     std::{
         collections::BTreeMap,
@@ -127,10 +127,9 @@
 fn case(record: &Record) -> bool {
     let mut targets = Vec::new();
     for index in 0..18 {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().unwrap();
+        let address = target_address(index);
         targets.push(Arc::new(Target {
-            name: format!("i-{index:02}{:05}", address.port()),
+            name: format!("i-{index:02}41{:05}", 17 * index),
             service: if index < 12 { "route-registry" } else { "consent-desk" },
             domain: DOMAINS[index % DOMAINS.len()].0,
             address,
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -11,7 +11,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -426,6 +426,42 @@
     DOMAINS.iter().find(|(name, _)| *name == domain).unwrap().1
 }
 
+/// The port of targets that end and start again at their addresses. Unlike a port that the system
+/// chooses, no other socket gets it meanwhile.
+const TARGET_PORT: u16 = 8_365;
+const TARGETS_MAX: usize = 64;
+
+/// Returns the address of a target that ends and starts again there.
+pub fn target_address(index: usize) -> SocketAddr {
+    assert!(index < TARGETS_MAX);
+    let (high, low) = octets();
+    (Ipv4Addr::new(127, high, low, 100 + index as u8), TARGET_PORT).into()
+}
+
+/// Returns the two middle octets of this run's loopback addresses, on which nothing else listens.
+fn octets() -> (u8, u8) {
+    static OCTETS: OnceLock<(u8, u8)> = OnceLock::new();
+    *OCTETS.get_or_init(|| {
+        for attempt in 0..50 {
+            let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_nanos();
+            let seed = std::process::id().wrapping_mul(2_654_435_761) ^ nanos ^ (attempt << 20);
+            let (high, low) = ((20 + seed % 200) as u8, (seed / 200 % 250) as u8);
+            let is_free = |last: usize, port| {
+                TcpListener::bind((Ipv4Addr::new(127, high, low, last as u8), port)).is_ok()
+            };
+            let ports =
+                [PEER_PORT, METRICS_PORT, OPERATOR_PORT, LOOKUP_PORT, CALLER_PORT, READINESS_PORT];
+            let nodes = 1..=REPLICAS + ENTRIES.len();
+            if nodes.clone().all(|last| ports.iter().all(|port| is_free(last, *port)))
+                && (0..TARGETS_MAX).all(|index| is_free(100 + index, TARGET_PORT))
+            {
+                return (high, low);
+            }
+        }
+        cannot_run("no loopback addresses are free")
+    })
+}
+
 /// Six replicas and nine entries, as separate processes with their own loopback addresses.
 pub struct Fleet {
     folder: PathBuf,
@@ -441,19 +477,15 @@
         list: SocketAddr,
         tunnels: BTreeMap<usize, BTreeMap<SocketAddr, SocketAddr>>,
     ) -> Self {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_nanos();
-        let seed = std::process::id().wrapping_mul(2_654_435_761) ^ nanos;
-        let octets = ((20 + seed % 200) as u8, (seed / 200 % 250) as u8);
-        let folder = std::env::temp_dir().join(format!("review-{}-{nanos}", std::process::id()));
+        let octets = octets();
+        let folder = std::env::temp_dir().join(format!(
+            "review-{}-{}-{}",
+            std::process::id(),
+            octets.0,
+            octets.1
+        ));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let fleet = Self { folder, octets, list, tunnels };
-        for index in 0..REPLICAS + ENTRIES.len() {
-            for port in [PEER_PORT, METRICS_PORT, OPERATOR_PORT, LOOKUP_PORT, CALLER_PORT] {
-                if TcpListener::bind((fleet.ip(index), port)).is_err() {
-                    cannot_run("an address is in use");
-                }
-            }
-        }
         for index in 0..REPLICAS + ENTRIES.len() {
             fleet.start_node(index, true);
         }
