review: a list entry that can't be read blinds the whole system

One record of another writer with a control byte makes every read of the platform's list fail. After all processes are killed, no entry knows a target: nothing is served after `recovery`.

--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -521,6 +521,10 @@
         (self.ip(REPLICAS + entry), CALLER_PORT).into()
     }
 
+    pub fn data(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("{}.data", self.name(index)))
+    }
+
     pub fn log(&self, index: usize) -> String {
         fs::read_to_string(self.folder.join(format!("{}.log", self.name(index))))
             .unwrap_or_default()
