--- a/review/stand-ins/src/bin/foreign_record.rs
+++ b/review/stand-ins/src/bin/foreign_record.rs
@@ -165,6 +165,8 @@
     reads.store(0, Ordering::SeqCst);
     thread::sleep(JUDGED_FOR);
     let after = take_counts("later");
+    let ready = (0..ENTRIES.len()).filter(|entry| fleet.is_ready(*entry)).count();
+    record.line(&format!("{ready} of {} entries are ready", ENTRIES.len()));
     let reads = reads.load(Ordering::SeqCst);
     record.line(&format!("the list was read {reads} times in this part"));
     stop.store(true, Ordering::SeqCst);
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -521,10 +521,6 @@
         (self.ip(REPLICAS + entry), CALLER_PORT).into()
     }
 
-    pub fn data(&self, index: usize) -> PathBuf {
-        self.folder.join(format!("{}.data", self.name(index)))
-    }
-
     pub fn log(&self, index: usize) -> String {
         fs::read_to_string(self.folder.join(format!("{}.log", self.name(index))))
             .unwrap_or_default()
@@ -650,15 +646,18 @@
         Some(message.status())
     }
 
+    /// Asks an entry whether it is ready, as the platform does.
+    pub fn is_ready(&self, entry: usize) -> bool {
+        let address = (self.ip(REPLICAS + entry), READINESS_PORT).into();
+        let second = Duration::from_secs(1);
+        let result = call(address, "GET", "/v1/ready", &[], b"", second);
+        result.is_ok_and(|message| message.status() == 200)
+    }
+
     /// Waits until every entry is ready, and five replicas vote.
     pub fn wait_ready(&self) {
         for entry in 0..ENTRIES.len() {
-            let address = (self.ip(REPLICAS + entry), READINESS_PORT).into();
-            wait("the entry is ready", 20, || {
-                let second = Duration::from_secs(1);
-                let result = call(address, "GET", "/v1/ready", &[], b"", second);
-                result.is_ok_and(|message| message.status() == 200)
-            });
+            wait("the entry is ready", 20, || self.is_ready(entry));
         }
         wait("five replicas vote", 20, || {
             let logs: String = (0..REPLICAS).map(|index| self.log(index)).collect();
