--- a/review/stand-ins/src/bin/bridge.rs
+++ b/review/stand-ins/src/bin/bridge.rs
@@ -28,8 +28,14 @@
 /// The entry that is cut off, and the replicas of its region.
 const ENTRY: usize = 0;
 const BRIDGES: [usize; 2] = [0, 3];
-/// The length of the cut: at most the 5.5 s of the site file's `node_cut`.
-const CUT: Duration = Duration::from_millis(5_500);
+/// The length of the cut: that of the site file's longest `node_cut`.
+const CUT: Duration = Duration::from_secs(10);
+/// The rounds of stops, and the callers of the entry.
+const ROUNDS: usize = 2;
+const CALLERS: u32 = 80;
+/// Of the answers of a share of 0.58 of the backends, one in so many has no length: within the site's
+/// `garble`, 0.05 of the answers of 0.6 of the backends.
+const ONE_IN: u32 = 20;
 
 fn body_of(id: &str) -> String {
     (0..PIECES).map(|piece| format!("piece {piece} of the answer to {id}\n")).collect()
@@ -43,7 +49,7 @@
 
 fn respond(
     name: &str,
-    running: &AtomicU32,
+    (running, answers): (&AtomicU32, Option<&AtomicU32>),
     record: &Record,
     message: &Message,
     reader: &mut Reader,
@@ -63,11 +69,17 @@
     }
     let load = running.fetch_add(1, Ordering::SeqCst);
     record.line(&format!("{name} runs {id}"));
+    let body = body_of(&id);
+    let is_unframed =
+        answers.is_some_and(|answers| answers.fetch_add(1, Ordering::SeqCst) % ONE_IN == 0);
+    let length = match is_unframed {
+        true => String::new(),
+        false => format!("content-length: {}\r\n", body.len()),
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{STAMP}: 3e1b.07\r\n{LOAD}: {load},0,{SLOTS}\r\n\
-         connection: close\r\n\r\n"
+         connection: close\r\n{length}\r\n"
     );
-    let body = body_of(&id);
     let mut sent = reader.stream().write_all(head.as_bytes());
     for piece in body.split_inclusive('\n') {
         thread::sleep(PIECE_TIME);
@@ -75,19 +87,23 @@
     }
     running.fetch_sub(1, Ordering::SeqCst);
     let end = if sent.is_ok() { "whole" } else { "its connection was closed" };
-    record.line(&format!("{name} has answered {id}: {end}"));
+    let kind = if is_unframed { " without a length" } else { "" };
+    record.line(&format!("{name} has answered {id}{kind}: {end}"));
     let _ = reader.stream().shutdown(Shutdown::Write);
     Ok(false)
 }
 
 fn case(record: &Record) -> bool {
     let mut targets = Vec::new();
-    for index in 0..12 {
+    for index in 0..24 {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().unwrap();
         let name = format!("i-{index:02}{:05}", address.port());
         let (served, running, log) = (name.clone(), AtomicU32::new(0), record.clone());
-        serve(listener, move |message, reader| respond(&served, &running, &log, message, reader));
+        let answers = (index * 5 % 12 < 7).then(|| AtomicU32::new(0));
+        serve(listener, move |message, reader| {
+            respond(&served, (&running, answers.as_ref()), &log, message, reader)
+        });
         targets.push(Target { name, domain: DOMAINS[index % DOMAINS.len()].0, address });
     }
     let proxies: Vec<CutProxy> =
@@ -113,14 +129,14 @@
     let stop = Arc::new(AtomicBool::new(false));
     let broken = Arc::new(Mutex::new(Vec::<String>::new()));
     let (whole, failed) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
-    let callers: Vec<_> = (0..10_u32)
+    let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let (address, record) = (fleet.callers(ENTRY), record.clone());
             let (stop, broken) = (Arc::clone(&stop), Arc::clone(&broken));
             let (whole, failed) = (Arc::clone(&whole), Arc::clone(&failed));
             thread::spawn(move || {
                 // The callers are spread over the time that one answer takes.
-                thread::sleep(PIECE_TIME * caller);
+                thread::sleep(PIECE_TIME * (caller % PIECES as u32));
                 let mut number = 0;
                 while !stop.load(Ordering::SeqCst) {
                     number += 1;
@@ -165,7 +181,7 @@
                             thread::sleep(Duration::from_millis(50));
                         }
                     }
-                    thread::sleep(Duration::from_millis(20 + 7 * u64::from(caller)));
+                    thread::sleep(Duration::from_millis(20 + 7 * u64::from(caller % 10)));
                 }
             })
         })
@@ -178,7 +194,7 @@
     }
     let cut_at = std::time::Instant::now();
     thread::sleep(Duration::from_millis(1_000));
-    for replica in BRIDGES {
+    for replica in [BRIDGES; ROUNDS].concat() {
         if trouble() {
             record.line(&format!("SIGTERM to replica {replica}"));
             fleet.signal(replica, SIGTERM);
--- a/review/stand-ins/src/bin/evacuation.rs
+++ b/review/stand-ins/src/bin/evacuation.rs
@@ -28,8 +28,10 @@
 const OTHERS: [usize; 2] = [1, 2];
 /// The length of the freeze: that of the site file's `node_freeze` on the core.
 const FREEZE: Duration = Duration::from_secs(4);
-/// The bounds `evacuate` and `contact` of the site.
+/// The bounds `evacuate`, `skew_max` and `contact` of the site. While the core is unstable, `evacuate` is
+/// stretched by `skew_max` at most.
 const EVACUATE: Duration = Duration::from_secs(5);
+const SKEW_MAX: Duration = Duration::from_secs(5);
 const CONTACT: Duration = Duration::from_secs(3);
 
 /// A request that reached a target of the zone.
@@ -145,7 +147,7 @@
         record.line(&format!("replica {FROZEN} wakes"));
     }
     // From here on every machine is in touch again, and the evacuation is in force.
-    let judged_from = (acknowledged_at + EVACUATE).max(Instant::now() + CONTACT);
+    let judged_from = (acknowledged_at + EVACUATE + SKEW_MAX).max(Instant::now() + CONTACT);
     let ends_at = judged_from + Duration::from_secs(5);
     thread::sleep(judged_from.saturating_duration_since(Instant::now()));
     record.line("from here on, no request may reach the zone");
--- a/review/stand-ins/src/bin/rolled.rs
+++ b/review/stand-ins/src/bin/rolled.rs
@@ -159,7 +159,7 @@
     let added = route("desk", "/desk/", "safe", "consent-desk");
     let with_services = |text: String| {
         let desk = "{\"name\":\"consent-desk\",\"health_path\":\"/health\",\"connections\":330,\
-                    \"protocol\":\"h1\",\"tls\":false,\"cold_start\":\"3s\",\"cold_per_s\":7.5},";
+                    \"protocol\":\"h1\",\"tls\":false,\"cold_start\":\"3s\",\"cold_per_s\":19.0},";
         text.replace("\"services\":[", &format!("\"services\":[{desk}"))
     };
     let table_of = |version: u64, routes: &[String]| {
