--- a/crates/node/src/bridge.rs
+++ b/crates/node/src/bridge.rs
@@ -3,32 +3,52 @@
 
 They arrive on the replica's address for peers. The first four bytes, where a message has its
 length, mark such a connection; the address of the target follows. The replica answers with one byte
-once it is connected, and then passes bytes on in both directions until either side ends. An older
-replica takes the mark for a message that is too large and closes the connection.
+that says whether it is connected, and then passes bytes on in both directions until either side
+ends. An instance of another build takes the mark for a message that is too large and closes the
+connection.
+
+The target's bytes are sent to the entry in frames, and an empty frame follows when the target has
+ended its connection in order. A response without a length ends with its connection, and the kernel
+closes the connections of a replica that stops or is killed as if the target had done so. Only the
+empty frame tells the entry that nothing is missing.
 */
 
 use {
     crate::peer_link::set_unacked_timeout,
-    socket2::SockRef,
     std::{
         collections::BTreeSet,
         io,
         net::SocketAddr,
+        pin::Pin,
         sync::{Arc, Mutex, PoisonError},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt, copy, sink},
-        net::TcpStream,
+        io::{
+            AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader, ReadBuf,
+            copy, sink,
+        },
+        net::{
+            TcpStream,
+            tcp::{ReadHalf, WriteHalf},
+        },
         select,
         time::timeout,
     },
 };
 
-/// The value that stands where a message has its length. No message is as long.
-pub(crate) const BRIDGE_MARK: u32 = u32::MAX;
+/// The value that stands where a message has its length. No message is as long. Builds that don't
+/// send frames use the value above it.
+pub(crate) const BRIDGE_MARK: u32 = u32::MAX - 1;
 /// The byte that a replica sends when it is connected to the target.
 const CONNECTED: u8 = 1;
+/// The byte that a replica sends when the target refuses the connection.
+const REFUSED: u8 = 2;
+/// The size of a frame's length, in bytes.
+const FRAME_HEADER_BYTES: usize = 2;
+/// The maximum size of a frame without its length, in bytes.
+const FRAME_BYTES_MAX: usize = 8 << 10;
 /// The longest text of an address, in bytes.
 const ADDRESS_BYTES_MAX: usize = 64;
 /// The timeout of the replica's connection to the target, and of reading the address.
@@ -66,16 +86,19 @@
     if !targets.contains(address) {
         return Err(io::ErrorKind::PermissionDenied.into());
     }
-    let mut target = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    let mut target = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await? {
+        Ok(target) => target,
+        Err(error) => {
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                stream.write_u8(REFUSED).await?;
+            }
+            return Err(error);
+        }
+    };
     set_unacked_timeout(stream, UNACKED_TIMEOUT);
     set_unacked_timeout(&target, UNACKED_TIMEOUT);
     stream.write_u8(CONNECTED).await?;
-    let result = copy_both(stream, &mut target).await;
-    if result.is_err() {
-        // A response without a length would look complete if its connection ended in order.
-        SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
-    }
-    result
+    copy_both(stream, &mut target).await
 }
 
 /// Passes bytes on until either side ends. An entry that closes has given the request up; a target
@@ -85,9 +108,8 @@
     let (mut from_target, mut to_target) = target.split();
     select! {
         result = copy(&mut from_entry, &mut to_target) => result?,
-        result = copy(&mut from_target, &mut to_entry) => {
+        result = send_frames(&mut from_target, &mut to_entry) => {
             result?;
-            to_entry.shutdown().await?;
             let rest = timeout(DISCARD_TIMEOUT, copy(&mut from_entry, &mut sink())).await;
             rest.unwrap_or(Ok(0))?
         }
@@ -95,6 +117,27 @@
     Ok(())
 }
 
+/// Sends a target's bytes in frames until the target ends its connection in order, and then the
+/// empty frame.
+///
+/// # Errors
+///
+/// The I/O error of either connection. The entry then gets no empty frame.
+async fn send_frames(
+    from_target: &mut ReadHalf<'_>,
+    to_entry: &mut WriteHalf<'_>,
+) -> io::Result<()> {
+    let mut frame = [0; FRAME_HEADER_BYTES + FRAME_BYTES_MAX];
+    loop {
+        let length = from_target.read(&mut frame[FRAME_HEADER_BYTES..]).await?;
+        frame[..FRAME_HEADER_BYTES].copy_from_slice(&(length as u16).to_le_bytes());
+        to_entry.write_all(&frame[..FRAME_HEADER_BYTES + length]).await?;
+        if length == 0 {
+            return to_entry.shutdown().await;
+        }
+    }
+}
+
 async fn read_address(stream: &mut TcpStream) -> io::Result<SocketAddr> {
     let length = usize::from(stream.read_u8().await?);
     if length > ADDRESS_BYTES_MAX {
@@ -106,24 +149,132 @@
     text.parse().map_err(|_| io::ErrorKind::InvalidData.into())
 }
 
+/// The progress of reading frames.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FrameProgress {
+    /// The first byte of a length is next.
+    Length,
+    /// The second byte of a length is next; the first has this value.
+    LengthRest(u8),
+    /// This many bytes of a frame are left.
+    Data(usize),
+    /// The empty frame has been read.
+    Ended,
+}
+
+/// An entry's connection to a target through a replica. Reading from it fails with
+/// [`io::ErrorKind::UnexpectedEof`] if the connection ends without the word of the replica that the
+/// target has ended its own.
+#[derive(Debug)]
+pub(crate) struct BridgedStream {
+    inner: BufReader<TcpStream>,
+    progress: FrameProgress,
+}
+
+impl BridgedStream {
+    fn new(stream: TcpStream) -> Self {
+        let inner = BufReader::with_capacity(FRAME_HEADER_BYTES + FRAME_BYTES_MAX, stream);
+        Self { inner, progress: FrameProgress::Length }
+    }
+
+    /// Returns the connection to the replica.
+    pub(crate) fn replica_stream(&self) -> &TcpStream {
+        self.inner.get_ref()
+    }
+}
+
+impl AsyncRead for BridgedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        loop {
+            if this.progress == FrameProgress::Ended || buffer.remaining() == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            let bytes = ready!(Pin::new(&mut this.inner).poll_fill_buf(cx))?;
+            let Some(&first) = bytes.first() else {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            };
+            let (used, progress) = match this.progress {
+                FrameProgress::Length => (1, FrameProgress::LengthRest(first)),
+                FrameProgress::LengthRest(low) => match u16::from_le_bytes([low, first]) {
+                    0 => (1, FrameProgress::Ended),
+                    length => (1, FrameProgress::Data(usize::from(length))),
+                },
+                FrameProgress::Data(left) => {
+                    let taken = left.min(bytes.len()).min(buffer.remaining());
+                    buffer.put_slice(&bytes[..taken]);
+                    match left - taken {
+                        0 => (taken, FrameProgress::Length),
+                        left => (taken, FrameProgress::Data(left)),
+                    }
+                }
+                FrameProgress::Ended => return Poll::Ready(Ok(())),
+            };
+            let filled = matches!(this.progress, FrameProgress::Data(_));
+            this.progress = progress;
+            Pin::new(&mut this.inner).consume(used);
+            if filled {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+impl AsyncWrite for BridgedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, pieces)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 /// Connects to a target through the replica at a peer address.
 ///
 /// # Errors
 ///
-/// An I/O error if the replica can't be connected to, or ends the connection because it doesn't
-/// know the target or can't connect to it.
+/// [`io::ErrorKind::ConnectionRefused`] if the target refuses the connection; another I/O error if
+/// the replica can't be connected to, doesn't know the target or can't connect to it.
 pub(crate) async fn connect_through(
     replica: SocketAddr,
     target: SocketAddr,
-) -> io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(replica).await?;
+) -> io::Result<BridgedStream> {
+    let connecting = TcpStream::connect(replica).await;
+    // A replica that doesn't listen says nothing about the target.
+    let mut stream = connecting.map_err(|_| io::ErrorKind::NotConnected)?;
     let text = target.to_string();
     let mut request = BRIDGE_MARK.to_le_bytes().to_vec();
     request.push(text.len() as u8);
     request.extend_from_slice(text.as_bytes());
     stream.write_all(&request).await?;
     match stream.read_u8().await? {
-        CONNECTED => Ok(stream),
+        CONNECTED => Ok(BridgedStream::new(stream)),
+        REFUSED => Err(io::ErrorKind::ConnectionRefused.into()),
         _ => Err(io::ErrorKind::InvalidData.into()),
     }
 }
--- a/crates/node/src/fleet/connection_pool.rs
+++ b/crates/node/src/fleet/connection_pool.rs
@@ -30,6 +30,7 @@
         time::Duration,
     },
     tokio::{
+        io::{AsyncRead, AsyncWrite},
         net::TcpStream,
         task::AbortHandle,
         time::{Instant, timeout},
@@ -181,17 +182,18 @@
         bridge: Option<SocketAddr>,
         limit: Duration,
     ) -> bool {
-        let (result, refusal) = match bridge {
-            Some(replica) => {
-                let connecting = bridge::connect_through(self.route_to(replica), address);
-                (timeout(limit, connecting).await, ErrorKind::UnexpectedEof)
-            }
-            None => {
-                let connecting = TcpStream::connect(self.route_to(address));
-                (timeout(limit, connecting).await, ErrorKind::ConnectionRefused)
+        let connecting = async {
+            match bridge {
+                Some(replica) => {
+                    bridge::connect_through(self.route_to(replica), address).await.map(drop)
+                }
+                None => TcpStream::connect(self.route_to(address)).await.map(drop),
             }
         };
-        result.is_ok_and(|result| result.is_err_and(|error| error.kind() == refusal))
+        let result = timeout(limit, connecting).await;
+        result.is_ok_and(|result| {
+            result.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+        })
     }
 
     /// Takes an unused connection for a request that needs one, and has others made in the background
@@ -295,13 +297,28 @@
     bridge: Option<SocketAddr>,
 ) -> Option<TargetConnection> {
     let started = Instant::now();
-    let stream = match bridge {
-        Some(replica) => timeout(limit, bridge::connect_through(replica, address)).await,
-        None => timeout(limit, TcpStream::connect(address)).await,
-    };
-    let stream = stream.ok()?.ok()?;
-    let connect_time = Some(started.elapsed());
-    set_unacked_timeout(&stream, UNACKED_TIMEOUT);
+    match bridge {
+        Some(replica) => {
+            let connecting = bridge::connect_through(replica, address);
+            let stream = timeout(limit, connecting).await.ok()?.ok()?;
+            let connect_time = started.elapsed();
+            set_unacked_timeout(stream.replica_stream(), UNACKED_TIMEOUT);
+            open_http(stream, connect_time).await
+        }
+        None => {
+            let stream = timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+            let connect_time = started.elapsed();
+            set_unacked_timeout(&stream, UNACKED_TIMEOUT);
+            open_http(stream, connect_time).await
+        }
+    }
+}
+
+/// Prepares a new connection for requests.
+async fn open_http<S>(stream: S, connect_time: Duration) -> Option<TargetConnection>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
     let handshake = Builder::new()
         .read_buf_exact_size(Some(READ_BUFFER_BYTES))
         .handshake(TokioIo::new(stream))
@@ -311,5 +328,6 @@
         // A failure is also returned to the request that the connection carries.
         let _ = connection.await;
     });
-    Some(TargetConnection { sender, task: task.abort_handle(), connect_time, is_reused: false })
+    let (task, connect_time) = (task.abort_handle(), Some(connect_time));
+    Some(TargetConnection { sender, task, connect_time, is_reused: false })
 }
