--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -10,10 +10,14 @@
     bytes::Bytes,
     hyper::body::{Body, Frame, SizeHint},
     poem::Body as PoemBody,
+    socket2::SockRef,
     std::{
         io,
         pin::Pin,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
         task::{Context, Poll},
         time::Duration,
     },
@@ -54,16 +58,26 @@
     Busy,
 }
 
-/// The phase of a connection and the time at which it began.
+/// What a connection does and since when.
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
+    /// The phase of the connection and the time at which it began.
     phase: Mutex<(ConnectionPhase, Instant)>,
+    /// Whether the end of the connection is that of the current response.
+    ends_response: AtomicBool,
 }
 
 impl ConnectionActivity {
     /// Returns the activity of a connection that has just opened.
     pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self { phase: Mutex::new((ConnectionPhase::Idle, Instant::now())) })
+        let phase = Mutex::new((ConnectionPhase::Idle, Instant::now()));
+        Arc::new(Self { phase, ends_response: AtomicBool::new(false) })
+    }
+
+    /// Records that the current response has neither a length nor chunks, so that it ends with the
+    /// connection.
+    pub(crate) fn end_with_response(&self) {
+        self.ends_response.store(true, Ordering::Relaxed);
     }
 
     /// Records that the head of a request is complete. The connection is busy until the returned
@@ -154,16 +168,28 @@
     }
 }
 
-/// A socket that records when bytes arrive.
+/// A socket that records when bytes arrive, and resets a connection whose end would otherwise make
+/// an interrupted response look complete.
 pub(crate) struct MonitoredSocket {
     inner: TcpStream,
     activity: Arc<ConnectionActivity>,
+    /// Whether closing the socket resets the connection, also when the process is killed.
+    resets: bool,
 }
 
 impl MonitoredSocket {
     /// Returns a socket with the activity of its connection.
     pub(crate) fn new(inner: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
-        Self { inner, activity }
+        Self { inner, activity, resets: false }
+    }
+
+    /// Makes closing the socket reset the connection if its end is that of the response.
+    fn prepare_write(&mut self) -> io::Result<()> {
+        if !self.resets && self.activity.ends_response.load(Ordering::Relaxed) {
+            SockRef::from(&self.inner).set_linger(Some(Duration::ZERO))?;
+            self.resets = true;
+        }
+        Ok(())
     }
 }
 
@@ -188,6 +214,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
@@ -196,6 +223,7 @@
         cx: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.inner).poll_write_vectored(cx, pieces)
     }
 
@@ -208,6 +236,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The response is complete.
+        if std::mem::take(&mut self.resets) {
+            SockRef::from(&self.inner).set_linger(None)?;
+        }
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,7 +5,8 @@
 to completion and the work that it requested elsewhere is never cancelled. Here the connection is
 dropped, and its handler with it. Small responses are sent without delay (`TCP_NODELAY`), and a
 graceful shutdown gives the requests in flight a limited time to end before their connections are
-closed.
+closed. A response that ends with its connection, as one without a length does for a caller that
+doesn't know chunks, is interrupted by a reset, so that it doesn't look complete.
 
 # Example
 
@@ -30,7 +31,12 @@
 
 use {
     connection::{ConnectionActivity, GuardedBody, MonitoredSocket},
-    hyper::{Request as HyperRequest, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request as HyperRequest, Version,
+        body::{Body as _, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     poem::{
         Endpoint, Request, Response,
@@ -169,6 +175,8 @@
         let endpoint = Arc::clone(&endpoint);
         let addresses = (LocalAddr(local.into()), RemoteAddr(remote.into()));
         let guard = service_activity.begin_request();
+        let activity = Arc::clone(&service_activity);
+        let is_chunkable = request.version() > Version::HTTP_10;
         async move {
             let request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
             let mut response = endpoint.get_response(request).await;
@@ -176,6 +184,9 @@
                 set_keep_alive_header(&mut response, keep_alive_timeout);
             }
             let body = GuardedBody::new(response.take_body(), guard);
+            if !is_chunkable && body.size_hint().exact().is_none() {
+                activity.end_with_response();
+            }
             let response: hyper::Response<_> = response.into();
             Ok::<_, Infallible>(response.map(|_| body))
         }
