--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 * `loads` collects the loads that targets report, [`rate_limits`] the limits that they state, and
   [`outages`] reports of unreachable targets; [`crash_tracker`] collects requests under which targets
   ended, and [`stored_crashes`] is what replicas store of them.
+* [`stall_meter`] detects that the process stood still for a while.
 * [`messages`] defines the messages between instances; [`decision_events`] defines what they log.
 */
 
@@ -31,4 +32,5 @@
 pub mod replica;
 pub mod roster;
 pub mod routes;
+pub mod stall_meter;
 pub mod stored_crashes;
--- a/crates/core/src/fleet/replica/commands.rs
+++ b/crates/core/src/fleet/replica/commands.rs
@@ -20,6 +20,12 @@
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(950);
 
 impl ReplicaState {
+    /// Submits the confirmation that a read of the table waits for.
+    pub(super) fn read_table(&mut self, ticket: ReplyTicket, now: Moment) -> Vec<NodeEffect> {
+        self.unconfirmed_reads.insert(ticket);
+        self.submit_command(ticket, TableCommand::Confirm, now)
+    }
+
     /// Submits an operator's command to the leader.
     pub(super) fn submit_command(
         &mut self,
@@ -27,9 +33,6 @@
         command: TableCommand,
         now: Moment,
     ) -> Vec<NodeEffect> {
-        if command == TableCommand::Confirm {
-            self.unconfirmed_reads.insert(ticket);
-        }
         let peers = self.command_peers();
         let command = LedgerCommand::Table(command);
         let purpose = CommandPurpose::Operator(ticket);
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -72,6 +72,11 @@
         /// The ticket of the write.
         ticket: u64,
     },
+    /// An operator's read of the table.
+    ReadTable {
+        /// The ticket for the reply.
+        ticket: ReplyTicket,
+    },
     /// A command of an operator.
     Command {
         /// The ticket for the reply.
@@ -233,6 +238,7 @@
             ReplicaEvent::Tick => self.tick(clock),
             ReplicaEvent::Peer(envelope) => self.receive(*envelope, clock),
             ReplicaEvent::Persisted { ticket } => self.replica.persisted(ticket, now),
+            ReplicaEvent::ReadTable { ticket } => self.read_table(ticket, now),
             ReplicaEvent::Command { ticket, command } => self.submit_command(ticket, command, now),
             ReplicaEvent::ListRead { list, calls } => self.handle_list_read(list, calls, now),
             ReplicaEvent::Seeds(seeds) => {
--- a/crates/core/src/ledger/state.rs
+++ b/crates/core/src/ledger/state.rs
@@ -222,18 +222,25 @@
     }
 
     /// Applies a table command, and records it in the audit trail if it changed something or was
-    /// refused.
+    /// refused. An evacuation in conflict isn't recorded, since its replica submits it again.
     fn apply_table_command(&mut self, now_ms: u64, command: TableCommand) -> TableOutcome {
         let previous_change = self.tables.change();
         let from = ConfigVersion(self.tables.version());
         let line = match &command {
             TableCommand::Replace { version, .. } => format!("route table {version}"),
-            TableCommand::Evacuate { domain, begins: true } => format!("evacuation of {domain}"),
-            TableCommand::Evacuate { domain, .. } => format!("end of the evacuation of {domain}"),
+            TableCommand::Evacuate { domain, begins: true }
+            | TableCommand::EvacuateFrom { domain, begins: true, .. } => {
+                format!("evacuation of {domain}")
+            }
+            TableCommand::Evacuate { domain, .. } | TableCommand::EvacuateFrom { domain, .. } => {
+                format!("end of the evacuation of {domain}")
+            }
             TableCommand::Confirm => String::new(),
         };
+        let is_conditional = matches!(command, TableCommand::EvacuateFrom { .. });
         let outcome = self.tables.apply(command);
         let action = match outcome {
+            TableOutcome::Conflict { .. } if is_conditional => return outcome,
             TableOutcome::Accepted { change } if change == previous_change => return outcome,
             TableOutcome::Accepted { .. } => AuditAction::Accepted,
             TableOutcome::Conflict { .. } | TableOutcome::Stale { .. } => AuditAction::Conflict,
--- a/crates/core/src/ledger/tables.rs
+++ b/crates/core/src/ledger/tables.rs
@@ -34,7 +34,8 @@
         /// The text of the table.
         text: String,
     },
-    /// Takes the targets of a failure domain out of use, or returns them to use.
+    /// Takes the targets of a failure domain out of use, or returns them to use, whatever has changed
+    /// before. Replicas of earlier builds submit it.
     Evacuate {
         /// The failure domain.
         domain: DomainName,
@@ -43,6 +44,17 @@
     },
     /// Changes nothing; its position in the log confirms the state at that point.
     Confirm,
+    /// Takes the targets of a failure domain out of use, or returns them to use, unless anything has
+    /// changed since the state that it is based on. A command that is delayed on its way has no
+    /// effect after a later one.
+    EvacuateFrom {
+        /// The number of changes that the command is based on.
+        base: u64,
+        /// The failure domain.
+        domain: DomainName,
+        /// Whether the evacuation begins; otherwise it ends.
+        begins: bool,
+    },
 }
 
 /// The outcome of a table command.
@@ -53,7 +65,7 @@
         /// The number of changes so far, including that of the command if it made one.
         change: u64,
     },
-    /// The base isn't the current version.
+    /// The base isn't the current version, or isn't the current number of changes.
     Conflict {
         /// The current version.
         current: u64,
@@ -100,19 +112,22 @@
     pub(crate) fn apply(&mut self, command: TableCommand) -> TableOutcome {
         match command {
             TableCommand::Replace { base, version, text } => self.replace(base, version, text),
-            TableCommand::Evacuate { domain, begins } => {
-                let changed = if begins {
-                    self.evacuated.insert(domain)
-                } else {
-                    self.evacuated.remove(&domain)
-                };
-                self.change += u64::from(changed);
-                TableOutcome::Accepted { change: self.change }
+            TableCommand::Evacuate { domain, begins } => self.evacuate(domain, begins),
+            TableCommand::EvacuateFrom { base, .. } if base != self.change => {
+                TableOutcome::Conflict { current: self.version }
             }
+            TableCommand::EvacuateFrom { domain, begins, .. } => self.evacuate(domain, begins),
             TableCommand::Confirm => TableOutcome::Accepted { change: self.change },
         }
     }
 
+    fn evacuate(&mut self, domain: DomainName, begins: bool) -> TableOutcome {
+        let changed =
+            if begins { self.evacuated.insert(domain) } else { self.evacuated.remove(&domain) };
+        self.change += u64::from(changed);
+        TableOutcome::Accepted { change: self.change }
+    }
+
     fn replace(&mut self, base: Option<u64>, version: u64, text: String) -> TableOutcome {
         let current = self.version;
         let digest: TableDigest = Sha256::digest(text.as_bytes()).into();
--- a/crates/core/tests/table_store.rs
+++ b/crates/core/tests/table_store.rs
@@ -73,6 +73,31 @@
     assert!(ledger.tables().evacuated().is_empty());
 }
 
+/// Guards against an order about an evacuation that takes effect after a later one, because it was
+/// delayed between replicas.
+#[test]
+fn table_store_delayed_evacuation() {
+    let mut ledger = LedgerState::default();
+    let domain = DomainName::new("a");
+    let evacuate =
+        |base, begins| TableCommand::EvacuateFrom { base, domain: domain.clone(), begins };
+    assert_eq!(apply(&mut ledger, evacuate(0, true)), TableOutcome::Accepted { change: 1 });
+    // The first end is delayed; it is sent again, and a new evacuation follows.
+    assert_eq!(apply(&mut ledger, evacuate(1, false)), TableOutcome::Accepted { change: 2 });
+    assert_eq!(apply(&mut ledger, evacuate(2, true)), TableOutcome::Accepted { change: 3 });
+    let mut ledger = restored(&ledger);
+    assert_eq!(apply(&mut ledger, evacuate(1, false)), TableOutcome::Conflict { current: 0 });
+    assert!(ledger.tables().evacuated().contains(&domain));
+    // Without effect, but confirmed.
+    assert_eq!(apply(&mut ledger, evacuate(3, true)), TableOutcome::Accepted { change: 3 });
+    replace(&mut ledger, 0, 5, "five");
+    assert_eq!(apply(&mut ledger, evacuate(3, false)), TableOutcome::Conflict { current: 5 });
+    assert_eq!(apply(&mut ledger, evacuate(4, false)), TableOutcome::Accepted { change: 5 });
+    // A conflict isn't an operator's, and isn't audited.
+    let records = ledger.audit().records_from(0, 100);
+    assert!(records.iter().all(|record| record.action == AuditAction::Accepted), "{records:?}");
+}
+
 /// Guards against a replacement that is missing from the audit trail because it was refused, and
 /// against a record of a confirmation, which changes nothing.
 #[test]
--- a/crates/node/src/fleet/operator_api.rs
+++ b/crates/node/src/fleet/operator_api.rs
@@ -21,7 +21,8 @@
         web::{Data, Json, Path, Query},
     },
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
 /// The time for which callers may use a lookup response. Some use it for three times as
@@ -30,6 +31,14 @@
 /// The maximum number of entries in one lookup response.
 const LOOKUP_ENTRIES_MAX: usize = 64;
 
+/// The maximum size of the body of an order that needs none, in bytes.
+const ORDER_BYTES_MAX: usize = 1 << 10;
+/// The time after which it is noticed that an operator has given an order up whose bytes were held
+/// up on the way: longer than a round trip to the farthest region.
+const DISCONNECT_DELAY: Duration = Duration::from_millis(200);
+/// The time after which an operator gets the reply that an evacuation's outcome is unknown.
+const EVACUATION_TIMEOUT: Duration = Duration::from_millis(950);
+
 /// Returns the HTTP routes of a replica.
 pub(crate) fn routes(shell: &Arc<ReplicaShell>) -> impl poem::Endpoint + use<> {
     Route::new()
@@ -72,12 +81,26 @@
 async fn run_command(shell: &Arc<ReplicaShell>, command: TableCommand) -> Response {
     let description = match &command {
         TableCommand::Replace { version, .. } => format!("table {version}"),
-        TableCommand::Evacuate { domain, begins: true } => format!("evacuate {domain}"),
-        TableCommand::Evacuate { domain, .. } => format!("end the evacuation of {domain}"),
+        TableCommand::Evacuate { domain, begins }
+        | TableCommand::EvacuateFrom { domain, begins, .. } => describe_evacuation(domain, *begins),
         TableCommand::Confirm => "confirm".to_owned(),
     };
     let reply = shell.submit_command(command).await;
-    let (status, outcome) = match &reply {
+    order_response(shell, description, &reply)
+}
+
+fn describe_evacuation(domain: &DomainName, begins: bool) -> String {
+    let order = if begins { "evacuate" } else { "end the evacuation of" };
+    format!("{order} {domain}")
+}
+
+/// Logs the outcome of an order and returns the response to it.
+fn order_response(
+    shell: &Arc<ReplicaShell>,
+    description: String,
+    reply: &OperatorReply,
+) -> Response {
+    let (status, outcome) = match reply {
         OperatorReply::Table(TableOutcome::Accepted { .. }) => (StatusCode::OK, "accepted"),
         OperatorReply::Table(TableOutcome::Conflict { .. }) => {
             (StatusCode::PRECONDITION_FAILED, "conflict")
@@ -85,17 +108,66 @@
         OperatorReply::Table(TableOutcome::Stale { .. }) => (StatusCode::CONFLICT, "stale version"),
         _ => (StatusCode::SERVICE_UNAVAILABLE, "unclear"),
     };
-    shell.log_decision(&DecisionEvent::OrderEnded {
-        order: description,
-        outcome: outcome.to_owned(),
-    });
+    log_order(shell, description, outcome);
     outcome.with_status(status).into_response()
 }
 
+fn log_order(shell: &Arc<ReplicaShell>, order: String, outcome: &str) {
+    shell.log_decision(&DecisionEvent::OrderEnded { order, outcome: outcome.to_owned() });
+}
+
+/// Begins or ends the evacuation of a failure domain.
+///
+/// An order says nothing of the state that it is meant for, and may be read long after its operator
+/// has given it up and sent others: this process may have stalled, or the bytes were held up. So the
+/// order is based on the state that a quorum confirms after it was read. By then the server has
+/// dropped this handler if the operator has gone; if it hasn't, no later order precedes the
+/// confirmation, and one that follows makes the command conflict. A conflict with another change is
+/// resolved by another confirmation.
+async fn run_evacuation(
+    shell: &Arc<ReplicaShell>,
+    domain: DomainName,
+    begins: bool,
+    body: Body,
+) -> Response {
+    // The server notices that a caller has gone only once the request has been read.
+    if body.into_bytes_limit(ORDER_BYTES_MAX).await.is_err() {
+        return StatusCode::PAYLOAD_TOO_LARGE.into();
+    }
+    let description = describe_evacuation(&domain, begins);
+    let submission = async {
+        let (mut confirmed, ()) =
+            tokio::join!(shell.submit_command(TableCommand::Confirm), sleep(DISCONNECT_DELAY));
+        loop {
+            if shell.has_backlog() {
+                return None;
+            }
+            let OperatorReply::Table(TableOutcome::Accepted { change: base }) = confirmed else {
+                return Some(confirmed);
+            };
+            let domain = domain.clone();
+            let command = TableCommand::EvacuateFrom { base, domain, begins };
+            let reply = shell.submit_command(command).await;
+            if !matches!(reply, OperatorReply::Table(TableOutcome::Conflict { .. })) {
+                return Some(reply);
+            }
+            confirmed = shell.submit_command(TableCommand::Confirm).await;
+        }
+    };
+    match timeout(EVACUATION_TIMEOUT, submission).await {
+        Ok(Some(reply)) => order_response(shell, description, &reply),
+        Ok(None) => {
+            log_order(shell, description, "refused after a stall");
+            StatusCode::SERVICE_UNAVAILABLE.into()
+        }
+        Err(_) => order_response(shell, description, &OperatorReply::OutcomeUnknown),
+    }
+}
+
 /// Returns the current table, as confirmed by a quorum after the request arrived.
 #[handler]
 async fn show_table(shell: Data<&Arc<ReplicaShell>>) -> Response {
-    match shell.submit_command(TableCommand::Confirm).await {
+    match shell.read_table().await {
         OperatorReply::TableText(text) if !text.is_empty() => {
             text.with_content_type("application/json").into_response()
         }
@@ -109,8 +181,9 @@
 async fn begin_evacuation(
     shell: Data<&Arc<ReplicaShell>>,
     Path(domain): Path<DomainName>,
+    body: Body,
 ) -> Response {
-    run_command(&shell, TableCommand::Evacuate { domain, begins: true }).await
+    run_evacuation(&shell, domain, true, body).await
 }
 
 /// Ends the evacuation of a failure domain: its targets may be used again.
@@ -118,8 +191,9 @@
 async fn end_evacuation(
     shell: Data<&Arc<ReplicaShell>>,
     Path(domain): Path<DomainName>,
+    body: Body,
 ) -> Response {
-    run_command(&shell, TableCommand::Evacuate { domain, begins: false }).await
+    run_evacuation(&shell, domain, false, body).await
 }
 
 /// The query parameters of a lookup.
--- a/crates/node/src/fleet/replica_shell.rs
+++ b/crates/node/src/fleet/replica_shell.rs
@@ -11,13 +11,17 @@
         decision_log::DecisionLog, fleet_metrics::FleetMetrics, list_reader,
         settings::FleetSettings,
     },
-    crate::{disk::LogWriter, peer_link::PeerLinks, shell::moment_since, wall_clock::wall_ms},
+    crate::{
+        boot_clock::since_boot, disk::LogWriter, peer_link::PeerLinks, shell::moment_since,
+        wall_clock::wall_ms,
+    },
     hemlockspool_core::{
         clock::{ClockReading, Moment},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
         fleet::{
             decision_events::DecisionEvent,
             replica::{ReplicaEvent, ReplicaState},
+            stall_meter::StallMeter,
             stored_crashes::StoredCrashes,
         },
         ledger::TableCommand,
@@ -42,6 +46,7 @@
     state: ReplicaState,
     /// The channels of the outcomes that operators wait for.
     replies: BTreeMap<ReplyTicket, oneshot::Sender<OperatorReply>>,
+    stall_meter: StallMeter,
 }
 
 /// The state and resources that the tasks of a replica share.
@@ -80,7 +85,8 @@
         state: ReplicaState,
         parts: ReplicaShellParts,
     ) -> Arc<Self> {
-        let locked = LockedState { state, replies: BTreeMap::new() };
+        let stall_meter = StallMeter::new(since_boot());
+        let locked = LockedState { state, replies: BTreeMap::new(), stall_meter };
         Arc::new(Self {
             settings,
             metrics: Arc::new(FleetMetrics::new()),
@@ -121,12 +127,36 @@
         }
     }
 
+    /// Applies the regular tick.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        self.lock().stall_meter.record_tick(since_boot());
+        self.apply(ReplicaEvent::Tick);
+    }
+
+    /// Returns whether what the process reads now may have arrived before or during a stall.
+    pub(crate) fn has_backlog(&self) -> bool {
+        self.lock().stall_meter.has_backlog(since_boot())
+    }
+
     /// Submits an operator's command and waits for its outcome.
     pub(crate) async fn submit_command(self: &Arc<Self>, command: TableCommand) -> OperatorReply {
+        self.call(|ticket| ReplicaEvent::Command { ticket, command }).await
+    }
+
+    /// Reads the table, as confirmed by a quorum.
+    pub(crate) async fn read_table(self: &Arc<Self>) -> OperatorReply {
+        self.call(|ticket| ReplicaEvent::ReadTable { ticket }).await
+    }
+
+    /// Applies an operator's event and waits for the reply to its ticket.
+    async fn call<F>(self: &Arc<Self>, event: F) -> OperatorReply
+    where
+        F: FnOnce(ReplyTicket) -> ReplicaEvent,
+    {
         let ticket = ReplyTicket(self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1);
         let (sender, receiver) = oneshot::channel();
         self.lock().replies.insert(ticket, sender);
-        self.apply(ReplicaEvent::Command { ticket, command });
+        self.apply(event(ticket));
         receiver.await.unwrap_or(OperatorReply::OutcomeUnknown)
     }
 
--- a/crates/node/src/fleet/run_replica.rs
+++ b/crates/node/src/fleet/run_replica.rs
@@ -279,7 +279,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
-        shell.apply(ReplicaEvent::Tick);
+        shell.tick();
         if bridges_due <= Instant::now() {
             bridges_due = Instant::now() + BRIDGE_UPDATE_INTERVAL;
             let addresses = shell.read(|state, _| state.target_addresses());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -20,6 +20,7 @@
 * [`wall_clock`] reads the wall clock.
 */
 
+mod boot_clock;
 mod bridge;
 mod disk;
 mod event_log;
