--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -29,6 +29,7 @@
     },
     hemlockspool_model::names::TargetName,
     hemlockspool_platform::headers::{self, ResponseClass},
+    hemlockspool_serve::ResponseDeadline,
     http_body_util::combinators::BoxBody,
     hyper::body::{Body as _, Incoming},
     poem::{
@@ -176,16 +177,22 @@
     let result = match admitted {
         Ok(admitted) => {
             let caller = CallerRequest::new(&request, body.clone());
-            forward_admitted(shell, admitted, &caller).await
+            let deadline = Instant::now() + admitted.deadline.since(shell.now());
+            let result = forward_admitted(shell, admitted, &caller).await;
+            result.map(|response| (response, deadline))
         }
         Err(refusal) => Err(refusal),
     };
-    let buffered_bytes = result.as_ref().map_or(0, |response| response.buffered_bytes);
+    let buffered_bytes = result.as_ref().map_or(0, |(response, _)| response.buffered_bytes);
     shell.link_turns.record_written(HEAD_BYTES + buffered_bytes);
     match result {
         // The target may read the body until the end of its response.
-        Ok(response) if response.is_streamed => caller_response(response),
-        Ok(response) => {
+        Ok((response, deadline)) if response.is_streamed => {
+            let mut response = caller_response(response);
+            response.extensions_mut().insert(ResponseDeadline(deadline));
+            response
+        }
+        Ok((response, _)) => {
             body.discard_rest();
             caller_response(response)
         }
@@ -354,7 +361,8 @@
         ResponseClass::NotRun { load, replaced } => {
             // The head is enough to know that the request did not run; the body only decides
             // whether the connection can be reused.
-            let reading = timeout(REFUSAL_BODY_TIMEOUT, read_body(body)).await;
+            let reading =
+                timeout(REFUSAL_BODY_TIMEOUT, read_body(body)).await;
             if let Ok(Ok(ResponseBody::Complete(_))) = reading {
                 let reusable = !replaced && allows_reuse(&caller.body);
                 return_connection(shell, attempt, connection, &parts, reusable);
--- a/crates/node/src/proxy/forwarding.rs
+++ b/crates/node/src/proxy/forwarding.rs
@@ -18,6 +18,7 @@
         requests::{AttemptResult, DispatchAttempt, RequestAction, RequestEvent, RequestId},
     },
     hemlockspool_model::api::{RefusalReason, RefusalResponse, RunOutcome},
+    hemlockspool_serve::ResponseDeadline,
     poem::{Body, Request, Response, http::header},
     reqwest::Response as ClientResponse,
     std::sync::{Arc, atomic::Ordering},
@@ -56,8 +57,10 @@
         ForwardResult::Complete { head, body } => {
             completed_response(&shell, head, Body::from(body))
         }
-        ForwardResult::Streaming { head, response, attempt } => {
-            stream_response(&shell, &proxied, guard, head, response, attempt)
+        ForwardResult::Streaming { head, response, attempt, deadline } => {
+            let mut response = stream_response(&shell, &proxied, guard, head, response, attempt);
+            response.extensions_mut().insert(ResponseDeadline(deadline));
+            response
         }
     }
 }
@@ -69,7 +72,7 @@
     /// The complete response to a request that ran.
     Complete { head: ResponseHead, body: Bytes },
     /// A response whose body is still to be streamed.
-    Streaming { head: ResponseHead, response: ClientResponse, attempt: u32 },
+    Streaming { head: ResponseHead, response: ClientResponse, attempt: u32, deadline: Instant },
 }
 
 async fn execute_actions(
@@ -90,6 +93,7 @@
             Some(RequestAction::Dispatch(dispatch)) => dispatch,
         };
         let attempt_number = dispatch.attempt;
+        let deadline = Instant::now() + dispatch.time_left;
         match make_attempt(shell, proxied, &dispatch).await {
             AttemptOutcome::Ended(_) if proxied.body_exceeded.load(Ordering::Relaxed) => {
                 // The destination isn't to blame, so no result is reported: the request is closed
@@ -110,7 +114,8 @@
                 return ForwardResult::Final(refusal_response(shell, &too_large_refusal()));
             }
             AttemptOutcome::Streaming { head, response } => {
-                return ForwardResult::Streaming { head, response, attempt: attempt_number };
+                let attempt = attempt_number;
+                return ForwardResult::Streaming { head, response, attempt, deadline };
             }
         }
     }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -24,6 +24,8 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        select,
+        sync::Notify,
         time::{Instant, sleep_until},
     },
 };
@@ -54,8 +56,9 @@
     Idle,
     /// It receives the head of a request.
     Head,
-    /// It handles a request, whose body may still arrive, or sends the response.
-    Busy,
+    /// It handles a request, whose body may still arrive, or sends the response, until the deadline
+    /// if the response has one.
+    Busy { deadline: Option<Instant> },
 }
 
 /// What a connection does and since when.
@@ -63,6 +66,8 @@
 pub(crate) struct ConnectionActivity {
     /// The phase of the connection and the time at which it began.
     phase: Mutex<(ConnectionPhase, Instant)>,
+    /// Signals that the current response has a deadline.
+    deadline_set: Notify,
     /// Whether the end of the connection is that of the current response.
     ends_response: AtomicBool,
 }
@@ -71,7 +76,8 @@
     /// Returns the activity of a connection that has just opened.
     pub(crate) fn new() -> Arc<Self> {
         let phase = Mutex::new((ConnectionPhase::Idle, Instant::now()));
-        Arc::new(Self { phase, ends_response: AtomicBool::new(false) })
+        let ends_response = AtomicBool::new(false);
+        Arc::new(Self { phase, deadline_set: Notify::new(), ends_response })
     }
 
     /// Records that the current response has neither a length nor chunks, so that it ends with the
@@ -83,14 +89,21 @@
     /// Records that the head of a request is complete. The connection is busy until the returned
     /// guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> BusyGuard {
-        self.set_phase(ConnectionPhase::Busy);
+        self.set_phase(ConnectionPhase::Busy { deadline: None });
         BusyGuard { activity: Arc::clone(self) }
     }
 
-    /// Completes when the connection has been idle, or has been receiving a head, for too long.
+    /// Sets the deadline of the current response.
+    pub(crate) fn set_deadline(&self, deadline: Instant) {
+        self.set_phase(ConnectionPhase::Busy { deadline: Some(deadline) });
+        self.deadline_set.notify_one();
+    }
+
+    /// Completes when the connection has been idle, or has been receiving a head, for too long, or
+    /// when the deadline of a response is over.
     pub(crate) async fn expired(&self, idle_timeout: Duration, head_timeout: Duration) {
-        // No phase that begins during a wait of this length can expire before its end, so a change
-        // of the phase needs no signal.
+        // No other phase that begins during a wait of this length can expire before its end, so a
+        // change of the phase needs no signal.
         let check_interval = idle_timeout.min(head_timeout);
         loop {
             let (phase, since) = *self.lock();
@@ -98,12 +111,15 @@
             let deadline = match phase {
                 ConnectionPhase::Idle => since + idle_timeout,
                 ConnectionPhase::Head => since + head_timeout,
-                ConnectionPhase::Busy => now + check_interval,
+                ConnectionPhase::Busy { deadline } => deadline.unwrap_or(now + check_interval),
             };
             if now >= deadline {
                 return;
             }
-            sleep_until(deadline.min(now + check_interval)).await;
+            select! {
+                () = sleep_until(deadline.min(now + check_interval)) => {}
+                () = self.deadline_set.notified() => {}
+            }
         }
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -48,7 +48,7 @@
         net::{TcpListener, TcpStream},
         sync::watch,
         task::JoinSet,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -63,6 +63,12 @@
 /// The pause after accepting a connection failed, for example for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// The time at which the connection of a response closes if the response hasn't been handed over
+/// whole, set as an extension of the response. This also ends a response that the caller has stopped
+/// reading.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseDeadline(pub Instant);
+
 /// A server that listens but doesn't accept connections yet.
 #[derive(Debug)]
 pub struct EndpointServer {
@@ -183,7 +189,11 @@
             if let Some(keep_alive_timeout) = keep_alive_timeout {
                 set_keep_alive_header(&mut response, keep_alive_timeout);
             }
+            let deadline = response.extensions_mut().remove::<ResponseDeadline>();
             let body = GuardedBody::new(response.take_body(), guard);
+            if let Some(ResponseDeadline(deadline)) = deadline {
+                activity.set_deadline(deadline);
+            }
             if !is_chunkable && body.size_hint().exact().is_none() {
                 activity.end_with_response();
             }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 #![allow(missing_docs)]
 
 pub mod cluster;
+pub mod endless_target;
 pub mod fault_proxy;
 pub mod fleet;
 pub mod load;
