Bound what responses without an end take of a process's memory (LOST)

Another operator's report: a machine kept all that a faulty target sent and ran out of memory. Here an entry buffered up to 1 MB of each response, up to 2 MB as the buffer grew, without a limit on all together; load probes and lists were kept whole.

--- a/crates/node/src/fleet/entry_shell.rs
+++ b/crates/node/src/fleet/entry_shell.rs
@@ -6,7 +6,8 @@
 use {
     super::{
         body_turns::LinkTurns, connection_pool::ConnectionPool, decision_log::DecisionLog,
-        fleet_metrics::FleetMetrics, list_reader, settings::FleetSettings,
+        fleet_metrics::FleetMetrics, list_reader, response_body::ResponseMemory,
+        settings::FleetSettings,
     },
     crate::{peer_link::PeerLinks, shell::moment_since},
     hemlockspool_core::{
@@ -44,6 +45,8 @@
     pub pool: Arc<ConnectionPool>,
     /// The turns of callers' bodies on this entry's link.
     pub link_turns: LinkTurns,
+    /// The memory for the buffered bodies of targets' responses.
+    pub response_memory: ResponseMemory,
     /// The decision log.
     pub log: DecisionLog,
     /// The metrics.
@@ -79,10 +82,12 @@
         let EntryShellParts { settings, state, log, client, links, started } = parts;
         let pool = Arc::new(ConnectionPool::new(settings.tunnels.clone().unwrap_or_default()));
         let link_turns = LinkTurns::new(settings.link_bytes_per_s(), started);
+        let response_memory = ResponseMemory::new(settings.response_memory_bytes());
         Arc::new(Self {
             settings,
             pool,
             link_turns,
+            response_memory,
             log,
             metrics: Arc::new(FleetMetrics::new()),
             client,
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -362,7 +362,7 @@
             // The head is enough to know that the request did not run; the body only decides
             // whether the connection can be reused.
             let reading =
-                timeout(REFUSAL_BODY_TIMEOUT, read_body(body)).await;
+                timeout(REFUSAL_BODY_TIMEOUT, read_body(body, &shell.response_memory)).await;
             if let Ok(Ok(ResponseBody::Complete(_))) = reading {
                 let reusable = !replaced && allows_reuse(&caller.body);
                 return_connection(shell, attempt, connection, &parts, reusable);
@@ -392,7 +392,7 @@
     connection: TargetConnection,
     request_body: &RequestBody,
 ) -> Option<TargetResponse> {
-    match read_body(body).await.ok()? {
+    match read_body(body, &shell.response_memory).await.ok()? {
         ResponseBody::Complete(bytes) => {
             return_connection(shell, attempt, connection, &parts, allows_reuse(request_body));
             let buffered_bytes = bytes.len() as u64;
--- a/crates/node/src/fleet/list_reader.rs
+++ b/crates/node/src/fleet/list_reader.rs
@@ -3,6 +3,7 @@
 */
 
 use {
+    crate::limited_body::{BodyReadError, read_limited},
     hemlockspool_core::fleet::{decision_events::DecisionEvent, roster::TargetList},
     hemlockspool_platform::target_list,
     reqwest::Client,
@@ -12,6 +13,8 @@
 
 /// The timeout for reading one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The maximum size of a page, in bytes.
+const PAGE_BYTES_MAX: usize = 16 << 20;
 /// The maximum number of pages that are read. A longer list is treated as invalid and isn't used.
 const PAGES_MAX: u32 = 400;
 
@@ -31,7 +34,7 @@
 enum PageReadError {
     /// The call failed.
     #[error(transparent)]
-    Call(#[from] reqwest::Error),
+    Call(#[from] BodyReadError),
     /// The response isn't a valid page.
     #[error(transparent)]
     Page(#[from] target_list::PageError),
@@ -64,6 +67,8 @@
 }
 
 async fn read_page(client: &Client, url: &str) -> Result<target_list::ListPage, PageReadError> {
-    let response = client.get(url).timeout(PAGE_TIMEOUT).send().await?.error_for_status()?;
-    Ok(target_list::parse_page(&response.bytes().await?)?)
+    let response = client.get(url).timeout(PAGE_TIMEOUT).send().await;
+    let response = response.and_then(|response| response.error_for_status());
+    let body = read_limited(response.map_err(BodyReadError::Call)?, PAGE_BYTES_MAX).await?;
+    Ok(target_list::parse_page(&body)?)
 }
--- a/crates/node/src/fleet/peer_forwarding.rs
+++ b/crates/node/src/fleet/peer_forwarding.rs
@@ -59,7 +59,7 @@
         ResponseClass::NotRun { load, replaced } => AttemptResult::NotRun { load, replaced }.into(),
         ResponseClass::FromTarget { .. } => {
             let status = parts.status.as_u16();
-            match read_response(parts, body, connection, &caller.body).await {
+            match read_response(shell, parts, body, connection, &caller.body).await {
                 Some(response) => AttemptOutcome {
                     response: Some(response),
                     ..AttemptResult::Answered { status, load: None }.into()
@@ -71,12 +71,13 @@
 }
 
 async fn read_response(
+    shell: &EntryShell,
     parts: Parts,
     body: Incoming,
     connection: TargetConnection,
     request_body: &RequestBody,
 ) -> Option<TargetResponse> {
-    Some(match read_body(body).await.ok()? {
+    Some(match read_body(body, &shell.response_memory).await.ok()? {
         ResponseBody::Complete(bytes) => TargetResponse {
             parts,
             buffered_bytes: bytes.len() as u64,
--- a/crates/node/src/fleet/settings.rs
+++ b/crates/node/src/fleet/settings.rs
@@ -23,8 +23,8 @@
 
 /// The memory that a process may use if the settings don't say, in MB.
 const MEMORY_MB_DEFAULT: f64 = 128.0;
-/// The fraction of a process's memory for callers' bodies. The rest is for its state and for the
-/// buffers of its connections.
+/// The fraction of a process's memory for callers' bodies, and that for targets' bodies. The rest is
+/// for its state and for the buffers of its connections.
 const BODY_MEMORY_FRACTION: f64 = 0.125;
 /// The number of bytes in one megabyte.
 const BYTES_PER_MB: f64 = 1e6;
@@ -212,6 +212,11 @@
         (memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB) as u64
     }
 
+    /// Returns the memory for the buffered bodies of targets' responses, in bytes.
+    pub(crate) fn response_memory_bytes(&self) -> u64 {
+        self.body_memory_bytes()
+    }
+
     /// Returns the limit of retries.
     pub(crate) fn retry_limit(&self) -> RetryLimit {
         let RetrySettings { ratio, slack, window } = self.repeats;
--- a/crates/testkit/src/process_stat.rs
+++ b/crates/testkit/src/process_stat.rs
@@ -19,8 +19,17 @@
 
 /// Returns the resident memory of a process in MiB; 0 if `/proc` states none, as after its exit.
 pub fn resident_mb(pid: i32) -> f64 {
+    memory_mb(pid, "VmRSS")
+}
+
+/// Returns the largest resident memory that a process has had, in MiB; 0 if `/proc` states none.
+pub fn peak_resident_mb(pid: i32) -> f64 {
+    memory_mb(pid, "VmHWM")
+}
+
+fn memory_mb(pid: i32, field: &str) -> f64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let line = status.lines().find(|line| line.starts_with(field));
     let kb: f64 = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0.0);
     kb / 1_024.0
 }
--- a/crates/testkit/tests/endless_targets.rs
+++ b/crates/testkit/tests/endless_targets.rs
@@ -5,9 +5,10 @@
     hemlockspool_testkit::{
         cluster::{ClusterPlan, TestCluster, wait_until},
         endless_target::{EndlessResponse, EndlessTarget},
+        process_stat::peak_resident_mb,
     },
     std::{sync::atomic::Ordering, time::Duration},
-    tokio::time::Instant,
+    tokio::time::{Instant, sleep},
 };
 
 /// Deadline of the requests.
@@ -62,3 +63,24 @@
     })
     .await;
 }
+
+/// Guards against entries that run out of memory because the response to a load probe never ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_load_response() {
+    /// Twice what such an entry uses at rest.
+    const MEMORY_MB_MAX: f64 = 64.0;
+    let response = EndlessResponse {
+        request: "get /load",
+        beginning: "HTTP/1.1 200 OK\r\n\r\n",
+        repeated: &[b'x'; 1 << 16],
+        pause: Duration::ZERO,
+    };
+    let (cluster, targets) = start_cluster(response).await;
+    wait_until("targets have been probed several times", || async { counts(&targets).1 >= 20 })
+        .await;
+    sleep(Duration::from_millis(100)).await;
+    for node in &cluster.nodes {
+        let peak = peak_resident_mb(node.pid());
+        assert!(peak < MEMORY_MB_MAX, "{}: {peak} MiB", node.name);
+    }
+}
