Targets that drained get requests again when they have started again (CONFIG)

Requests on a route to targets that were released one after the other, under their names, were answered 503 for good. Cause: an entry kept the word that a target drains for as long as its name was on the list. The departure of a target now ends with proof of a new start, with 4 s of being listed as ready, or, if the list never showed it, with a health check. A target whose address was another's for a while is probed as well.

--- a/crates/core/src/fleet/decision_events.rs
+++ b/crates/core/src/fleet/decision_events.rs
@@ -137,6 +137,11 @@
         /// The name of the target.
         target: TargetName,
     },
+    /// A target that drained, or said that it leaves, has started again and gets requests again.
+    TargetReturned {
+        /// The name of the target.
+        target: TargetName,
+    },
     /// A target turned a request away and wants none from this entry for a time.
     TargetPaused {
         /// The name of the target.
@@ -350,6 +355,7 @@
         (256, LogLevel::Info, "targets can be connected to again"),
         (257, LogLevel::Info, "a target said that it leaves"),
         (258, LogLevel::Info, "a target wants no request for a time"),
+        (259, LogLevel::Info, "a target that drained takes requests again"),
         (260, LogLevel::Info, "a request was sent to a target"),
         (261, LogLevel::Info, "a request was refused without having run"),
         (262, LogLevel::Warn, "a request failed, or its outcome is unknown"),
@@ -396,6 +402,7 @@
             Self::ForwardingFailed { .. } => 267,
             Self::TargetLeaving { .. } => 257,
             Self::TargetPaused { .. } => 258,
+            Self::TargetReturned { .. } => 259,
             Self::RequestSent { .. } => 260,
             Self::RequestRefused { .. } => 261,
             Self::RequestFailed { .. } => 262,
--- a/crates/core/src/traffic/dispatch.rs
+++ b/crates/core/src/traffic/dispatch.rs
@@ -17,7 +17,6 @@
                 RequestRefusal, TargetAttempt, TargetLoad, TransferredBytes,
             },
             router::RequestRouter,
-            target_state::TargetHealth,
         },
         util::stable_hash,
     },
@@ -343,8 +342,7 @@
                     state.record_load(load, now);
                 }
                 if replaced {
-                    state.health = TargetHealth::Replaced;
-                    state.unreachable_at = Some(now);
+                    state.record_replaced(now);
                     None
                 } else {
                     state.record_refusal(load, now);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -3,7 +3,8 @@
 refused.
 
 * [`request`] is the state of a request; `target_state` is that of a target as the entry sees it,
-  and [`target_notice`] what a target says of itself.
+  [`target_notice`] what a target says of itself, and `target_departure` what is known of one that
+  drains.
 * [`router`] holds the state that decisions are based on; `admission` admits requests, `dispatch`
   starts attempts and records their results, and [`placement`] chooses a target.
 * `route_stats` measures the processing time of routes, and `late_cause` tells why a response was
@@ -49,6 +50,7 @@
 pub mod router;
 pub mod spare_plan;
 pub mod spillover;
+mod target_departure;
 mod target_limits;
 pub mod target_notice;
 mod target_state;
--- a/crates/core/src/traffic/peer_forwarding.rs
+++ b/crates/core/src/traffic/peer_forwarding.rs
@@ -135,7 +135,7 @@
     fn restore_targets(&mut self, names: &BTreeSet<TargetName>) {
         for name in names {
             if let Some(state) = self.targets.get_mut(name)
-                && state.health != TargetHealth::Replaced
+                && !matches!(state.health, TargetHealth::Replaced { .. })
             {
                 state.health = TargetHealth::Healthy;
                 state.consecutive_failures = 0;
@@ -168,7 +168,7 @@
         }
         let usable = |name: &&TargetName| {
             let state = self.targets.get(*name);
-            state.is_some_and(|state| !state.info.draining && state.is_open(now))
+            state.is_some_and(|state| !state.is_draining() && state.is_open(now))
         };
         let count = self.targets.keys().filter(usable).count();
         self.reach_probes = self.reach_probes.wrapping_add(1);
--- a/crates/core/src/traffic/router.rs
+++ b/crates/core/src/traffic/router.rs
@@ -226,7 +226,11 @@
         self.targets.retain(|name, _| list.contains_key(name));
         for (name, info) in list {
             match self.targets.get_mut(name) {
-                Some(state) => state.update_info(info.clone(), now),
+                Some(state) => {
+                    if state.update_info(info.clone(), now) {
+                        self.log_return(name.clone());
+                    }
+                }
                 None => {
                     let state = self.new_target(info.clone(), now);
                     self.targets.insert(name.clone(), state);
@@ -326,8 +330,8 @@
         demand
     }
 
-    /// Updates time-dependent state; returns the probes that are due. Neither draining targets are
-    /// probed nor those that take nothing from this entry now.
+    /// Updates time-dependent state; returns the probes that are due. Targets that the list shows as
+    /// draining aren't probed, nor those that take nothing from this entry now.
     pub fn tick(&mut self, now: Moment) -> Vec<ProbeRequest> {
         self.update_rates(now);
         self.link_meter.update(now);
@@ -340,9 +344,14 @@
         self.update_reach(now);
         self.update_bridges(now);
         self.update_quarantines(now);
+        self.update_departures(now);
         let mut probes = Vec::new();
         for (name, state) in &mut self.targets {
-            if !state.info.draining && state.is_open(now) && state.start_probe(now) {
+            let is_due = match state.is_draining() {
+                true => state.start_departure_probe(now),
+                false => state.is_open(now) && state.start_probe(now),
+            };
+            if is_due {
                 state.take_permit(now);
                 probes.push(ProbeRequest { target: name.clone() });
             }
@@ -366,7 +375,11 @@
             self.record_connected(now);
         }
         let Some(state) = self.targets.get_mut(target) else { return };
-        if state.finish_probe(cold, now) {
+        if state.is_draining() {
+            if cold.is_some() && state.finish_departure_probe() {
+                self.log_return(target.clone());
+            }
+        } else if state.finish_probe(cold, now) {
             let cold_ms = cold.unwrap_or_default().as_millis() as u64;
             self.log_events.push(DecisionEvent::TargetBack { target: target.clone(), cold_ms });
         }
--- a/crates/core/src/traffic/target_notice.rs
+++ b/crates/core/src/traffic/target_notice.rs
@@ -3,11 +3,15 @@
 
 A target knows first that it is in need. What it says is about that target, not about its address. A
 limit holds for as long as its later responses state it, a pause for its time, and that it leaves
-for good.
+until it starts again.
 */
 
 use {
-    crate::{clock::Moment, fleet::decision_events::DecisionEvent, traffic::router::RequestRouter},
+    crate::{
+        clock::Moment,
+        fleet::decision_events::DecisionEvent,
+        traffic::{router::RequestRouter, target_departure::TargetDeparture},
+    },
     hemlockspool_model::names::{ServiceName, TargetName},
     std::time::Duration,
 };
@@ -43,10 +47,14 @@
             state.malformed_logged = true;
             self.log_events.push(DecisionEvent::NoticeMalformed { target: target.clone() });
         }
-        if notice.is_leaving && !state.info.draining {
-            // As if the list said so, which follows later.
-            state.info.draining = true;
-            self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
+        if notice.is_leaving {
+            match &mut state.departure {
+                Some(departure) => departure.record_stated(now),
+                None => {
+                    state.departure = Some(TargetDeparture::stated(now));
+                    self.log_events.push(DecisionEvent::TargetLeaving { target: target.clone() });
+                }
+            }
         }
         if let Some(duration) = notice.pause
             && state.pause(duration, now)
--- a/crates/core/src/traffic/target_state.rs
+++ b/crates/core/src/traffic/target_state.rs
@@ -12,7 +12,7 @@
         fleet::roster::TargetInfo,
         traffic::{
             cold_limiter::ColdLimiter, rate_share::RateShare, request::TargetLoad,
-            target_notice::StatedLimit,
+            target_departure::TargetDeparture, target_notice::StatedLimit,
         },
     },
     hemlockspool_model::names::{RegionName, TargetName},
@@ -51,14 +51,17 @@
     Ejected { until: Moment, backoff: Duration },
     /// Waits for the result of a probe.
     Probing { since: Moment, backoff: Duration },
-    /// Gets no requests, since another instance has its address.
-    Replaced,
+    /// Gets no requests, since another instance has its address, until a point in time, and then only
+    /// after a successful probe.
+    Replaced { until: Moment },
 }
 
 /// The state of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
     pub info: TargetInfo,
+    /// What is known of the target's departure, if it drains.
+    pub departure: Option<TargetDeparture>,
     pub region: RegionName,
     pub health: TargetHealth,
     /// The number of this entry's requests at the target.
@@ -96,8 +99,10 @@
 impl TargetState {
     pub fn new(info: TargetInfo, region: RegionName, now: Moment) -> Self {
         let cold = (info.cold_ms > 0).then(|| now.after(Duration::from_millis(info.cold_ms)));
+        let departure = info.draining.then(TargetDeparture::listed);
         Self {
             info,
+            departure,
             region,
             health: TargetHealth::Healthy,
             own_in_flight: 0,
@@ -119,21 +124,54 @@
         }
     }
 
-    /// Applies the target's item in the current target list.
-    pub fn update_info(&mut self, info: TargetInfo, now: Moment) {
+    /// Applies the target's item in the current target list. Returns whether the target takes requests
+    /// again after it drained.
+    pub fn update_info(&mut self, info: TargetInfo, now: Moment) -> bool {
+        let has_moved = info.address != self.info.address;
+        let turns_cold = info.cold_ms > self.info.cold_ms;
         if info.cold_ms > 0 && info.cold_ms != self.info.cold_ms {
             self.mark_cold(Duration::from_millis(info.cold_ms), now);
         }
-        if info.address != self.info.address {
+        if has_moved {
             self.health = TargetHealth::Healthy;
             self.consecutive_failures = 0;
             self.stated_limit = None;
             self.rate_share = None;
             self.paused_until = None;
         }
-        // A target that drains never accepts new requests again under the same name.
-        let draining = self.info.draining || info.draining;
-        self.info = TargetInfo { draining, ..info };
+        let has_returned = self.departure.as_mut().is_some_and(|departure| {
+            departure.record_listed(info.draining, now);
+            !info.draining && (has_moved || turns_cold)
+        });
+        if info.draining && self.departure.is_none() {
+            self.departure = Some(TargetDeparture::listed());
+        }
+        self.info = info;
+        if has_returned {
+            self.reset();
+        }
+        has_returned
+    }
+
+    /// Forgets what was observed of the target before it started again.
+    pub fn reset(&mut self) {
+        self.departure = None;
+        self.health = TargetHealth::Healthy;
+        self.remote_in_flight = 0.0;
+        self.reported_load = None;
+        self.full_until = None;
+        self.consecutive_failures = 0;
+        self.failure_rate = 0.0;
+        self.cold_limiter = ColdLimiter::default();
+        self.stated_limit = None;
+        self.rate_share = None;
+        self.paused_until = None;
+        self.unreachable_at = None;
+    }
+
+    /// Returns whether the target drains, according to the list or itself.
+    pub fn is_draining(&self) -> bool {
+        self.departure.is_some()
     }
 
     /// Marks the target as cold for a duration.
@@ -252,6 +290,10 @@
                 self.health = TargetHealth::Probing { since: now, backoff };
                 true
             }
+            TargetHealth::Replaced { until } if now >= until => {
+                self.health = TargetHealth::Probing { since: now, backoff: EJECTION_MAX };
+                true
+            }
             TargetHealth::Probing { since, backoff } if now.since(since) > PROBE_TIMEOUT => {
                 self.fail_probe(backoff, now);
                 false
@@ -279,6 +321,12 @@
         true
     }
 
+    /// Records that another instance responded at the target's address.
+    pub fn record_replaced(&mut self, now: Moment) {
+        self.health = TargetHealth::Replaced { until: now.after(EJECTION_MAX) };
+        self.unreachable_at = Some(now);
+    }
+
     fn fail_probe(&mut self, backoff: Duration, now: Moment) {
         let backoff = (2 * backoff).min(EJECTION_MAX);
         self.health = TargetHealth::Ejected { until: now.after(backoff), backoff };
@@ -316,7 +364,7 @@
 
     /// Returns whether the target may get new requests, unless its failure domain is evacuated.
     pub fn is_eligible(&self) -> bool {
-        !self.info.draining && self.health == TargetHealth::Healthy && self.info.slots > 0
+        !self.is_draining() && self.health == TargetHealth::Healthy && self.info.slots > 0
     }
 }
 
