--- a/crates/node/src/fleet/run_entry.rs
+++ b/crates/node/src/fleet/run_entry.rs
@@ -43,8 +43,10 @@
 /// of a request, so that callers with steady traffic keep their connections, while the memory of
 /// connections that were opened during a load peak is freed.
 const CALLER_IDLE_TIMEOUT_S: u64 = 3;
-/// The fraction of the grace period during which a stopping entry still accepts requests, since
-/// callers may use an older lookup response.
+/// The longest time for which a stopping entry still accepts requests: callers may use an older lookup
+/// response for 3 s. What is accepted later may not be answered before the grace period ends.
+const ADMISSION_MAX: Duration = Duration::from_millis(2_900);
+/// The fraction of the grace period for which a stopping entry accepts requests at most.
 const ADMISSION_FRACTION: f64 = 0.55;
 /// The margin before the end of the grace period at which a stopping entry exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
@@ -117,7 +119,7 @@
     });
     let mut terminate = signal(SignalKind::terminate()).map_err(FleetRunError::Signal)?;
     let grace = shell.settings.grace.0;
-    let admission_period = grace.mul_f64(ADMISSION_FRACTION);
+    let admission_period = grace.mul_f64(ADMISSION_FRACTION).min(ADMISSION_MAX);
     let stop_shell = Arc::clone(&shell);
     let stop = async move {
         terminate.recv().await;
