--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -71,6 +71,8 @@
     pub replica: ReplicaId,
     /// Time until which the process is paused, in microseconds.
     pub paused_until_us: u64,
+    /// Time until which the disk takes no writes, in microseconds.
+    pub disk_full_until_us: u64,
     incarnation: u64,
     /// Highest version that was in force since the disk was last lost, over all incarnations.
     pub highest_in_force: ConfigVersion,
@@ -154,6 +156,7 @@
                 disk: TestDisk::default(),
                 replica: ReplicaId(index as u64 + 1),
                 paused_until_us: 0,
+                disk_full_until_us: 0,
                 incarnation: 0,
                 highest_in_force: ConfigVersion::default(),
             });
@@ -297,7 +300,8 @@
             let pending = self.nodes[index].disk.unsynced.len() as u32;
             let partial = self.random(pending + 1) as usize;
             let count = if self.chance(700) { pending as usize } else { partial };
-            if let Some(ticket) = self.nodes[index].disk.sync(count) {
+            let is_full = self.nodes[index].disk_full_until_us > self.now_us;
+            if let Some(ticket) = self.nodes[index].disk.sync(if is_full { 0 } else { count }) {
                 self.apply(index, NodeEvent::Persisted { group: GroupId::default(), ticket });
             }
             self.apply(index, NodeEvent::Tick);
--- a/crates/core/tests/fault_injection.rs
+++ b/crates/core/tests/fault_injection.rs
@@ -9,7 +9,7 @@
 mod common;
 
 use {
-    common::{TestCluster, TestFaults, form_group, region_set},
+    common::{TICK_US, TestCluster, TestFaults, form_group, region_set},
     hemlockspool_core::reducer::NodeEvent,
     hemlockspool_model::{api::PublishOutcome, names::ConfigVersion},
 };
@@ -161,6 +161,45 @@
     }
 }
 
+/// Guards against changes that stay refused or unanswered after the disks of all nodes, the leader's
+/// among them, were full one after the other, never two at once.
+#[test]
+fn publication_disks_full_in_turn() {
+    const FULL_STEPS: u64 = 120;
+    let faults = TestFaults {
+        loss_percent: 2,
+        duplicate_percent: 2,
+        crash_per_mille: 0,
+        disk_loss_per_mille: 0,
+        pause_per_mille: 0,
+        cut_per_mille: 0,
+    };
+    for seed in SEEDS {
+        let mut cluster = TestCluster::new(5, seed, faults);
+        form_group(&mut cluster);
+        cluster.faults = faults;
+        for turn in 0..10 {
+            let leader = cluster.leader().unwrap_or_default();
+            let full = if turn % 2 == 0 { leader } else { turn / 2 };
+            cluster.nodes[full].disk_full_until_us = cluster.now_us + FULL_STEPS * TICK_US;
+            let before = version_at(&cluster, leader);
+            for step in 0..FULL_STEPS {
+                cluster.step();
+                if step % 10 == 0 {
+                    let index = cluster.random(5) as usize;
+                    let base = version_at(&cluster, index);
+                    let tag = format!("tag-{turn}-{step}");
+                    cluster.publish(index, &tag, base, region_set(&[format!("r{turn}{step}")]));
+                }
+            }
+            let after = (0..5).map(|index| version_at(&cluster, index)).max().unwrap();
+            assert!(after > before, "seed {seed}: no change while the disk of {full} was full");
+        }
+        check_agreement(&mut cluster);
+        publish_without_faults(&mut cluster);
+    }
+}
+
 /// Guards against an invalid set in force: a new leader that has the base of a publication in its
 /// log, but hasn't applied it yet, appends the publication unchecked.
 #[test]
