--- a/crates/core/tests/cut_off.rs
+++ b/crates/core/tests/cut_off.rs
@@ -163,6 +163,19 @@
     }
 }
 
+/// Guards against an entry that refuses requests until its links are back, because one of its targets
+/// could be connected to a moment longer than the others, which then are only probed.
+#[test]
+fn cut_off_after_last_connection() {
+    let (mut router, mut last_connections) = (router(), 50);
+    let found = first_forwarded(&mut router, 0, |target| {
+        let connected = target.as_str() == "t0" && last_connections > 0;
+        last_connections -= u32::from(connected);
+        (connected, 1)
+    });
+    assert!(found.is_some(), "the entry doesn't find out that it is cut off");
+}
+
 /// Guards against an entry that forwards requests although its targets can be connected to: a
 /// quarter of them are gone, all refuse some connections or all of them for a moment, or the entry's own link is saturated.
 #[test]
