--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -3,3 +3,4 @@
 #[path = "../../../platform/tests/common/mod.rs"]
 pub mod common;
 pub mod record;
+pub mod silent_proxy;
