--- a/review/stand-ins-2/src/bin/foreign_record.rs
+++ b/review/stand-ins-2/src/bin/foreign_record.rs
@@ -1,4 +1,4 @@
-//! Case 7: one record of another writer, with bytes that can't be read, makes the whole list
+//! No case (review/2 shows the same fault): one record of another writer, with bytes that can't be read, makes the whole list
 //! unreadable, so that a target that leaves goes on getting requests.
 
 use {
--- a/review/stand-ins-2/src/bin/silent_links.rs
+++ b/review/stand-ins-2/src/bin/silent_links.rs
@@ -1,4 +1,4 @@
-//! Case 10: the open connections between an entry and the replicas go silent, while new ones work.
+//! Case 7: the open connections between an entry and the replicas go silent, while new ones work.
 //! The entry goes on with the configuration that it has.
 
 use {
