--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -110,6 +110,11 @@
         sent_at: Moment,
     ) {
         let last_index = meta.last.index;
+        if self.log.term_at(last_index) == Some(meta.last.term) {
+            // The log has all entries that the snapshot includes. The entries after them may be
+            // acknowledged already, so the log must stay as it is.
+            self.commit_index = self.commit_index.max(last_index);
+        }
         if last_index <= self.commit_index {
             self.reply_snapshot(from, last_index, total, sent_at);
             return;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,9 +1,12 @@
 //! Simulated cluster: node reducers, messages in transit, and disks that lose unsynced writes.
 
+pub mod disk;
+
 use {
+    self::disk::TestDisk,
     hemlockspool_core::{
         clock::{ClockReading, Moment},
-        consensus::{GroupId, LogPosition, PersistBatch, ReplicaId, RestoredLog},
+        consensus::{GroupId, LogPosition, ReplicaId},
         effect::{NodeEffect, OperatorReply, ReplyTicket},
         identity::NodeIdentity,
         operators::{OperatorCall, SetChange},
@@ -20,7 +23,7 @@
     quickcheck::{Arbitrary, Gen},
     rand_pcg::{Pcg32, rand_core::SeedableRng},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
     },
 };
@@ -28,41 +31,6 @@
 /// Duration of a simulation step, in microseconds.
 pub const TICK_US: u64 = 25_000;
 
-/// Simulated disk of a node.
-#[derive(Clone, Debug, Default)]
-pub struct TestDisk {
-    /// Contents that survive a crash.
-    pub synced: RestoredLog,
-    /// Writes in progress with their tickets, oldest first.
-    pub unsynced: VecDeque<(u64, PersistBatch)>,
-}
-
-impl TestDisk {
-    fn apply_batch(log: &mut RestoredLog, batch: &PersistBatch) {
-        if let Some((image, base)) = &batch.reset {
-            *log = RestoredLog { image: image.clone(), base: *base, ..RestoredLog::default() };
-        }
-        if let Some(hard) = batch.hard {
-            log.hard = hard;
-        }
-        if let Some(index) = batch.truncate_after {
-            log.entries.retain(|entry| entry.position.index <= index);
-        }
-        log.entries.extend(batch.entries.iter().cloned());
-    }
-
-    /// Syncs up to `count` writes and returns the ticket of the last one.
-    fn sync(&mut self, count: usize) -> Option<u64> {
-        let mut last_ticket = None;
-        for _ in 0..count {
-            let Some((ticket, batch)) = self.unsynced.pop_front() else { break };
-            Self::apply_batch(&mut self.synced, &batch);
-            last_ticket = Some(ticket);
-        }
-        last_ticket
-    }
-}
-
 /// Node of the simulated cluster.
 pub struct TestNode {
     /// State of the process; none while it is down.
