--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -27,9 +27,18 @@
 /// A snapshot that is being received.
 #[derive(Clone, Debug)]
 pub(crate) struct IncomingSnapshot {
+    source: SnapshotSource,
+    bytes: Vec<u8>,
+}
+
+/// The origin of a snapshot's chunks. Two leaders may encode the same ledger differently, so only
+/// chunks of the same source belong together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct SnapshotSource {
+    leader: ReplicaId,
+    term: u64,
     meta: SnapshotMeta,
     total: u64,
-    bytes: Vec<u8>,
 }
 
 impl ConsensusGroup {
@@ -119,10 +128,11 @@
             self.reply_snapshot(from, last_index, total, sent_at);
             return;
         }
-        let is_same_snapshot =
-            self.incoming_snapshot.as_ref().is_some_and(|incoming| incoming.meta == meta);
-        if !is_same_snapshot {
-            self.incoming_snapshot = Some(IncomingSnapshot { meta, total, bytes: Vec::new() });
+        let source = SnapshotSource { leader: from, term: self.hard.term, meta, total };
+        let is_same_source =
+            self.incoming_snapshot.as_ref().is_some_and(|incoming| incoming.source == source);
+        if !is_same_source {
+            self.incoming_snapshot = Some(IncomingSnapshot { source, bytes: Vec::new() });
         }
         let Some(incoming) = &mut self.incoming_snapshot else {
             return;
@@ -131,7 +141,7 @@
             incoming.bytes.extend_from_slice(&data);
         }
         let received = incoming.bytes.len() as u64;
-        if received >= incoming.total {
+        if received >= total {
             self.install_incoming_snapshot();
         }
         self.reply_snapshot(from, last_index, received, sent_at);
@@ -141,8 +151,9 @@
         let Some(incoming) = self.incoming_snapshot.take() else {
             return;
         };
-        let last = incoming.meta.last;
-        let image = SnapshotImage { meta: incoming.meta, bytes: incoming.bytes };
+        let meta = incoming.source.meta;
+        let last = meta.last;
+        let image = SnapshotImage { meta, bytes: incoming.bytes };
         self.truncate_local(last.index.min(self.commit_index));
         self.log.reset(last);
         self.member_log = vec![(last.index, image.meta.members.clone())];
--- a/crates/core/tests/acknowledged_entries.rs
+++ b/crates/core/tests/acknowledged_entries.rs
@@ -162,3 +162,32 @@
         assert_eq!(matched_at(&mut group, 2, earlier, 30), None);
     }
 }
+
+/// Guards against a snapshot that is put together from the parts of two leaders, which may encode it
+/// differently.
+#[test]
+fn snapshot_of_one_leader() {
+    let last = LogPosition { term: 1, index: 10 };
+    for (successor, total) in [(ReplicaId(3), 10), (ReplicaId(3), 8), (LEADER, 10)] {
+        let mut group = replica(FOLLOWER, 1, Vec::new());
+        receive(&mut group, LEADER, chunk(2, last, 0..6, 10), 10);
+        let meta = SnapshotMeta { last, members: members() };
+        let part = |offset: u64, end: u64| ConsensusMessage::SnapshotChunk {
+            term: 3,
+            meta: meta.clone(),
+            offset,
+            total,
+            data: vec![1; (end - offset) as usize],
+            sent_at: at(20),
+        };
+        let sent = receive(&mut group, successor, part(6, total), 20);
+        let restarts = |message: &ConsensusMessage| {
+            matches!(message, ConsensusMessage::SnapshotReply { received: 0, .. })
+        };
+        assert!(sent.iter().any(restarts), "{sent:?}");
+        assert_eq!(group.commit_index(), ORIGIN.index, "an incomplete snapshot is installed");
+        receive(&mut group, successor, part(0, total), 30);
+        let image = group.take_installed_snapshot().expect("the snapshot is complete");
+        assert_eq!(image.bytes, vec![1; total as usize]);
+    }
+}
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -46,3 +46,28 @@
 fn replication_resets_and_reordered_messages() {
     run_seeds(GroupFaults { resets: 12, reordered: 30, ..GroupFaults::NONE });
 }
+
+/// Guards against a snapshot that is acknowledged but not stored, because a leader that ended and its
+/// successor sent a part each.
+#[test]
+fn replication_crashes_and_slow_disks() {
+    run_seeds(GroupFaults { resets: 6, crashes: 4, stalls: 4, ..GroupFaults::NONE });
+}
+
+#[test]
+fn replication_membership_changes() {
+    run_seeds(GroupFaults { resets: 6, crashes: 2, removals: 4, ..GroupFaults::NONE });
+}
+
+#[test]
+fn replication_mixed_faults() {
+    run_seeds(GroupFaults {
+        resets: 6,
+        crashes: 3,
+        pauses: 3,
+        cuts: 4,
+        stalls: 3,
+        removals: 2,
+        reordered: 10,
+    });
+}
