consensus: a leader sends again what a replica turns out to lack

Cause: the leader took the maximum of all acknowledgements, so a refusal never moved it back below them, and it went on counting the entries as stored there.

Evidence: append_reply_lost_entries and snapshot_reply_earlier_build failed before (21 entries counted where the replica had said 5, and 20).

A refusal of a message that was sent after the last acknowledged one takes back the count, and acknowledgements of earlier messages no longer raise it; a late refusal (append_reply_late_refusal) changes nothing. E127 is logged. No message changes.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -11,7 +11,8 @@
     crate::{
         clock::Moment,
         consensus::{
-            group::{ConsensusGroup, PeerProgress, ReplicaRole},
+            group::{ConsensusGroup, ReplicaRole},
+            progress::PeerProgress,
             types::{ConsensusMessage, ELECTION_TIMEOUT_MIN, LogPayload, LogPosition, ReplicaId},
         },
         log_events::LogEvent,
@@ -225,7 +226,6 @@
     /// is then the one after the log's end.
     pub(crate) fn progress_or_insert(&mut self, id: ReplicaId) -> &mut PeerProgress {
         let next = self.log.last_position().index + 1;
-        let new_progress = || PeerProgress { next_index: next, ..PeerProgress::default() };
-        self.progress.entry(id).or_insert_with(new_progress)
+        self.progress.entry(id).or_insert_with(|| PeerProgress::starting_at(next))
     }
 }
--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -8,6 +8,7 @@
         consensus::{
             durability::DeferredAction,
             log_buffer::LogBuffer,
+            progress::PeerProgress,
             snapshot::IncomingSnapshot,
             types::{
                 ConsensusMessage, ELECTION_TIMEOUT_JITTER, ELECTION_TIMEOUT_MIN,
@@ -93,18 +94,6 @@
     Leader,
 }
 
-/// The replication progress of another replica, as known to the leader.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PeerProgress {
-    pub next_index: u64,
-    pub match_index: u64,
-    /// The latest `sent_at` that the replica echoed.
-    pub echo: Option<Moment>,
-    /// The number of bytes of the snapshot that the replica has received, while one is being sent.
-    pub snapshot_received: Option<u64>,
-    pub snapshot_sent_at: Option<Moment>,
-}
-
 /// One group on one replica.
 #[derive(Clone, Debug)]
 pub struct ConsensusGroup {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod log_buffer;
 mod members;
+mod progress;
 mod replication;
 mod snapshot;
 pub mod types;
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -10,6 +10,7 @@
             APPEND_ENTRIES_MAX, ConsensusMessage, LogEntry, LogPosition, PersistBatch, ReplicaId,
         },
     },
+    log_events::LogEvent,
 };
 
 impl ConsensusGroup {
@@ -127,15 +128,19 @@
         let last = self.log.last_position().index;
         let progress = self.progress_or_insert(from);
         match matched {
-            Some(index) => {
-                progress.match_index = progress.match_index.max(index);
-                progress.next_index = progress.next_index.max(index + 1);
-            }
+            Some(index) => progress.acknowledge(index, echo),
             None => {
+                let lacks_acknowledged = progress.revoke_after(hint, echo);
                 let next = (hint + 1).max(progress.match_index + 1);
                 // Of several refusals in flight, only one that moves further back has an effect.
-                if next < progress.next_index {
+                let moves_back = next < progress.next_index;
+                if moves_back {
                     progress.next_index = next;
+                }
+                if lacks_acknowledged {
+                    self.log_missing_entries(from, hint);
+                }
+                if moves_back {
                     self.send_append(from, now);
                 }
             }
@@ -147,6 +152,12 @@
         self.promote_learners(now);
     }
 
+    fn log_missing_entries(&mut self, id: ReplicaId, index: u64) {
+        if let Some(name) = self.members().get(&id).map(|member| member.name.clone()) {
+            self.log_event(LogEvent::EntriesMissing { name, index });
+        }
+    }
+
     /// Returns whether a reply is from a member and belongs to the term in which this replica
     /// leads, and records its echo if so. Adopts a higher term and becomes a follower.
     pub(crate) fn accept_reply(
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -193,8 +193,10 @@
             return;
         }
         progress.snapshot_received = None;
-        progress.match_index = progress.match_index.max(last_index);
-        progress.next_index = last_index + 1;
+        // Replicas of earlier builds drop the entries after a snapshot that they install.
+        progress.revoke_after(last_index, echo);
+        progress.acknowledge(last_index, echo);
+        progress.next_index = progress.match_index + 1;
         self.send_append(from, now);
         self.advance_commit(now);
     }
--- a/crates/core/src/log_events.rs
+++ b/crates/core/src/log_events.rs
@@ -92,6 +92,14 @@
         /// The instance.
         name: InstanceName,
     },
+    /// A replica refused an append although it had acknowledged the entries before it. This replica,
+    /// the leader, sends them again.
+    EntriesMissing {
+        /// The instance.
+        name: InstanceName,
+        /// The index of the last log entry that the replica may have.
+        index: u64,
+    },
     /// A message of another deployment was dropped.
     ForeignMessage {
         /// The sender's name.
@@ -151,6 +159,7 @@
         (124, LogLevel::Info, "a learner got a vote"),
         (125, LogLevel::Warn, "a new data folder replaced an older one of the same instance"),
         (126, LogLevel::Warn, "a replica that does not reply lost its vote"),
+        (127, LogLevel::Warn, "a replica lacks log entries that it had acknowledged"),
         (130, LogLevel::Warn, "a message from another deployment was dropped"),
         (140, LogLevel::Warn, "a target was ejected after failures"),
         (141, LogLevel::Info, "the ejection of a target ended"),
@@ -182,6 +191,7 @@
             Self::ReplicaPromoted { .. } => 124,
             Self::ReplicaReplaced { .. } => 125,
             Self::ReplicaDemoted { .. } => 126,
+            Self::EntriesMissing { .. } => 127,
             Self::ForeignMessage { .. } => 130,
             Self::TargetEjected { .. } => 140,
             Self::TargetRestored { .. } => 141,
@@ -215,6 +225,7 @@
             Self::ReplicaReplaced { name }
             | Self::ReplicaDemoted { name }
             | Self::PeerTimedOut { name } => write!(f, " name={name}"),
+            Self::EntriesMissing { name, index } => write!(f, " name={name} index={index}"),
             Self::ForeignMessage { sender } => write!(f, " sender={sender}"),
             Self::InForce { version }
             | Self::UnconfirmedInForce { version }
--- a/crates/core/tests/acknowledged_entries.rs
+++ b/crates/core/tests/acknowledged_entries.rs
@@ -61,14 +61,22 @@
     message: ConsensusMessage,
     millis: u64,
 ) -> Vec<ConsensusMessage> {
-    let mut effects = group.receive(from, peer(from), message, at(millis));
+    perform(group, |group| group.receive(from, peer(from), message, at(millis)))
+}
+
+/// Calls a replica whose disk is immediate, and returns the messages that it sends.
+fn perform<F>(group: &mut ConsensusGroup, function: F) -> Vec<ConsensusMessage>
+where
+    F: FnOnce(&mut ConsensusGroup) -> Vec<ConsensusEffect>,
+{
+    let mut effects = function(group);
     let mut sent = Vec::new();
     while !effects.is_empty() {
         for effect in std::mem::take(&mut effects) {
             match effect {
                 ConsensusEffect::Send { message, .. } => sent.push(message),
                 ConsensusEffect::Persist { ticket, .. } => {
-                    effects.extend(group.persisted(ticket, at(millis)));
+                    effects.extend(group.persisted(ticket, at(10_000)));
                 }
                 ConsensusEffect::Log(_) => {}
             }
@@ -87,6 +95,38 @@
     ConsensusMessage::Append { term, previous, entries, commit, sent_at: at(millis) }
 }
 
+/// Returns a leader of the second term that has proposed the entries up to the 21st.
+fn leader() -> ConsensusGroup {
+    let mut group = replica(LEADER, 1, entries(1, 2..=10));
+    perform(&mut group, |group| group.tick(at(5_000)));
+    for (trial, term) in [(true, 2), (false, 2)] {
+        let vote = ConsensusMessage::VoteReply { term, granted: true, trial };
+        receive(&mut group, FOLLOWER, vote, 5_010);
+    }
+    assert!(group.is_leader());
+    for _ in 12..=21 {
+        perform(&mut group, |group| {
+            group.propose(LogPayload::Noop, at(5_020));
+            group.take_effects()
+        });
+    }
+    group
+}
+
+/// Returns a follower's reply to an append of the leader's second term.
+fn reply(matched: Option<u64>, hint: u64, sent_ms: u64) -> ConsensusMessage {
+    ConsensusMessage::AppendReply { term: 2, matched, hint, echo: at(sent_ms) }
+}
+
+/// Returns the index before the first entry of the last append among messages.
+fn last_previous(messages: &[ConsensusMessage]) -> Option<u64> {
+    let previous = |message: &ConsensusMessage| match message {
+        ConsensusMessage::Append { previous, .. } => Some(previous.index),
+        _ => None,
+    };
+    messages.iter().rev().find_map(previous)
+}
+
 /// Returns a part of a snapshot of 10 bytes that the leader of a term sends.
 fn chunk(
     term: u64,
@@ -191,3 +231,48 @@
         assert_eq!(image.bytes, vec![1; total as usize]);
     }
 }
+
+/// Guards against a leader that counts entries which a replica has dropped, and never sends them again.
+#[test]
+fn append_reply_lost_entries() {
+    let mut group = leader();
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_020), 5_100);
+    assert_eq!(group.match_index(FOLLOWER), Some(21));
+    let sent = receive(&mut group, FOLLOWER, reply(None, 5, 5_120), 5_200);
+    assert_eq!(group.match_index(FOLLOWER), Some(5));
+    assert_eq!(last_previous(&sent), Some(5), "{sent:?}");
+    // An acknowledgement from before that was late, and one from after that.
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_110), 5_210);
+    assert_eq!(group.match_index(FOLLOWER), Some(5));
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_200), 5_300);
+    assert_eq!(group.match_index(FOLLOWER), Some(21));
+    assert_eq!(group.commit_index(), 21, "a commit is never taken back");
+}
+
+/// Guards against acknowledged entries that are sent again because of a late refusal.
+#[test]
+fn append_reply_late_refusal() {
+    let mut group = leader();
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_120), 5_200);
+    let sent = receive(&mut group, FOLLOWER, reply(None, 5, 5_110), 5_210);
+    assert_eq!((group.match_index(FOLLOWER), sent.len()), (Some(21), 0), "{sent:?}");
+}
+
+/// Guards against a leader that counts the entries after a snapshot, which a replica of an earlier
+/// build drops when it installs the snapshot.
+#[test]
+fn snapshot_reply_earlier_build() {
+    let mut group = leader();
+    receive(&mut group, FOLLOWER, reply(Some(20), 20, 5_020), 5_100);
+    group.take_committed();
+    let image = vec![0; 10];
+    perform(&mut group, |group| group.take_snapshot(image, 0));
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_030), 5_110);
+    let done =
+        ConsensusMessage::SnapshotReply { term: 2, last_index: 20, received: 10, echo: at(5_105) };
+    let sent = receive(&mut group, FOLLOWER, done, 5_200);
+    assert_eq!(group.match_index(FOLLOWER), Some(20));
+    assert_eq!(last_previous(&sent), Some(20), "{sent:?}");
+    receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_200), 5_300);
+    assert_eq!(group.match_index(FOLLOWER), Some(21));
+}
