replica: only a replica that has what is committed says it is current

Evidence: current_with_committed_entries_only and current_after_leaders_first_commit fail with the old rule.

Change: a follower is current for a second after an append that left it with everything that its leader had committed, if that includes an entry of the leader's term, as the leader asks of itself. Requests to join still depend on contact alone.

--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -113,6 +113,9 @@
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) progress: BTreeMap<ReplicaId, PeerProgress>,
     pub(crate) last_leader_contact: Moment,
+    /// The time of the last append after which this replica had everything that its leader had
+    /// committed.
+    pub(crate) caught_up_at: Option<Moment>,
     /// Whether the replica was allowed an early election and has neither led nor had contact with a
     /// leader since.
     pub(crate) awaiting_first_leader: bool,
@@ -164,6 +167,7 @@
             leader: None,
             progress: BTreeMap::new(),
             last_leader_contact: now,
+            caught_up_at: None,
             awaiting_first_leader: false,
             election_due: now,
             heartbeat_due: now,
@@ -288,13 +292,22 @@
 
     /// Returns whether this replica had contact within the given duration: with its leader, or, as
     /// a leader that has committed an entry of its term, with a quorum.
+    pub fn has_leader_contact(&self, within: Duration, now: Moment) -> bool {
+        if self.is_leader() {
+            return self.is_current(within, now);
+        }
+        self.leader.is_some() && now.since(self.last_leader_contact) < within
+    }
+
+    /// Returns whether this replica had all committed entries within the given duration: by its
+    /// leader's word, or, as a leader that has committed an entry of its term, by a quorum's.
     pub fn is_current(&self, within: Duration, now: Moment) -> bool {
         if self.is_leader() {
             let in_current_term = self.log.term_at(self.commit_index) == Some(self.hard.term);
             let contact = self.quorum_contact(now).unwrap_or_default();
             return in_current_term && contact > Moment(0) && now.since(contact) < within;
         }
-        self.leader.is_some() && now.since(self.last_leader_contact) < within
+        self.leader.is_some() && self.caught_up_at.is_some_and(|at| now.since(at) < within)
     }
 
     /// Allows a replica that has just started to take part in an election soon. Only safe for
--- a/crates/core/src/consensus/replication.rs
+++ b/crates/core/src/consensus/replication.rs
@@ -80,6 +80,11 @@
         let matched = previous.index + entries.len() as u64;
         self.append_missing(entries);
         self.commit_index = self.commit_index.max(commit.min(matched));
+        // Until a leader has committed an entry of its own term, it may not know all that is committed.
+        let is_established = self.log.term_at(self.commit_index) == Some(term);
+        if self.commit_index >= commit && is_established {
+            self.caught_up_at = Some(now);
+        }
         self.reply_append(from, Some(matched), matched, sent_at);
     }
 
--- a/crates/core/src/fleet/replica/mod.rs
+++ b/crates/core/src/fleet/replica/mod.rs
@@ -51,7 +51,8 @@
     },
 };
 
-/// The time for which a replica is current after contact with the leader: several heartbeats.
+/// The time for which a replica is current after an append with which it had everything that is
+/// committed: several heartbeats.
 const CURRENT_TTL: Duration = Duration::from_millis(1_000);
 /// The interval at which a replica that isn't in the group, or has lost contact with it, asks to
 /// join.
@@ -215,7 +216,8 @@
         &self.roster
     }
 
-    /// Returns whether the replica is in contact with a leader that has a quorum.
+    /// Returns whether the replica is in contact with a leader that has a quorum, and has what is
+    /// committed.
     pub fn is_current(&self, now: Moment) -> bool {
         self.replica.group().is_current(CURRENT_TTL, now)
     }
@@ -322,7 +324,7 @@
         let group = self.replica.group();
         let is_member = group.members().contains_key(&group.me());
         let outside = group.is_blank() || !is_member;
-        let no_contact = !group.is_current(LEADER_CONTACT_TIMEOUT, now);
+        let no_contact = !group.has_leader_contact(LEADER_CONTACT_TIMEOUT, now);
         if now < self.join_due || !(outside || no_contact) {
             return Vec::new();
         }
@@ -401,7 +403,7 @@
             return Vec::new();
         }
         let leader = group.leader_peer().filter(|leader| *leader != peer);
-        let leader_known = group.is_current(CURRENT_TTL, now);
+        let leader_known = group.has_leader_contact(CURRENT_TTL, now);
         let message = FleetMessage::Join { id, peer, place };
         leader
             .filter(|_| leader_known)
--- a/crates/core/tests/acknowledged_entries.rs
+++ b/crates/core/tests/acknowledged_entries.rs
@@ -12,7 +12,7 @@
     },
     rand::SeedableRng,
     rand_pcg::Pcg32,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 const LEADER: ReplicaId = ReplicaId(1);
@@ -276,3 +276,54 @@
     receive(&mut group, FOLLOWER, reply(Some(21), 21, 5_200), 5_300);
     assert_eq!(group.match_index(FOLLOWER), Some(21));
 }
+
+/// Guards against a replica that says it is current, because appends reach it, although it can't
+/// follow them: entries of the fleet keep an old configuration with it.
+#[test]
+fn current_with_committed_entries_only() {
+    const TTL: Duration = Duration::from_millis(1_000);
+    let position = |index| LogPosition { term: 1, index };
+    let append_of = |previous, entries, commit, millis| ConsensusMessage::Append {
+        term: 1,
+        previous: position(previous),
+        entries,
+        commit,
+        sent_at: at(millis),
+    };
+    let mut group = replica(FOLLOWER, 1, entries(1, 2..=5));
+    for (message, is_current) in [
+        // Entries are missing before the append, or after it.
+        (append_of(9, entries(1, 10..=10), 9, 10), false),
+        (append_of(5, entries(1, 6..=7), 9, 20), false),
+        (append_of(7, entries(1, 8..=9), 9, 30), true),
+    ] {
+        receive(&mut group, LEADER, message, 40);
+        assert_eq!(group.is_current(TTL, at(40)), is_current);
+        assert!(group.has_leader_contact(TTL, at(40)));
+    }
+    // Later appends that it can't follow don't make it current again.
+    receive(&mut group, LEADER, append_of(20, entries(1, 21..=21), 20, 900), 900);
+    assert!(group.is_current(TTL, at(1_000)));
+    assert!(!group.is_current(TTL, at(1_100)));
+    assert!(group.has_leader_contact(TTL, at(1_100)));
+}
+
+/// Guards against a replica that says it is current by a new leader's word, although that leader hasn't
+/// learnt yet what its predecessor had committed.
+#[test]
+fn current_after_leaders_first_commit() {
+    const TTL: Duration = Duration::from_millis(1_000);
+    let mut group = replica(FOLLOWER, 1, entries(1, 2..=9));
+    let append_of = |previous, entries, commit| ConsensusMessage::Append {
+        term: 2,
+        previous,
+        entries,
+        commit,
+        sent_at: at(10),
+    };
+    let (last, first) = (LogPosition { term: 1, index: 9 }, LogPosition { term: 2, index: 10 });
+    receive(&mut group, LEADER, append_of(last, entries(2, 10..=10), 5), 10);
+    assert!(!group.is_current(TTL, at(10)));
+    receive(&mut group, LEADER, append_of(first, Vec::new(), 10), 20);
+    assert!(group.is_current(TTL, at(20)));
+}
--- a/crates/core/tests/common/replica_group.rs
+++ b/crates/core/tests/common/replica_group.rs
@@ -17,6 +17,7 @@
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
+        time::Duration,
     },
 };
 
@@ -32,6 +33,11 @@
 const LARGE_COMMAND_INTERVAL: u64 = 24;
 /// Position of the entry that all replicas have at the start.
 const ORIGIN: LogPosition = LogPosition { term: 1, index: 1 };
+/// Time after which what was committed must be known to a replica that says it is current: the
+/// platform's limit for a configuration in force.
+const APPLY_TIME_MAX_MS: u64 = 2_500;
+/// Time for which a replica says that it is current.
+const CURRENT_TTL: Duration = Duration::from_millis(1_000);
 
 pub fn peer(id: ReplicaId) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], id.0 as u16))
@@ -139,6 +145,8 @@
     last_number: u64,
     /// Committed positions by index, as first seen on any replica.
     committed: BTreeMap<u64, LogPosition>,
+    /// Highest committed index on any replica by time.
+    history: VecDeque<(u64, u64)>,
     /// Number of snapshots that were installed.
     pub installed: u64,
 }
@@ -161,6 +169,7 @@
             now_ms: 60_000,
             last_number: 0,
             committed: BTreeMap::new(),
+            history: VecDeque::new(),
             installed: 0,
         };
         for id in (1..=VOTERS + 1).map(ReplicaId) {
@@ -330,6 +339,9 @@
         for id in &ids {
             self.run(*id);
         }
+        let highest = self.committed.last_key_value().map_or(0, |(index, _)| *index);
+        self.history.push_back((self.now_ms, highest));
+        self.check_current();
     }
 
     /// Runs one replica for a step, unless it is down or paused.
@@ -500,4 +512,28 @@
         );
         self.replicas.get_mut(&id).unwrap().checked = (commit, voters);
     }
+
+    /// Checks that replicas that say they are current know what was committed some time ago.
+    fn check_current(&mut self) {
+        let before_ms = self.now_ms.saturating_sub(APPLY_TIME_MAX_MS);
+        while self.history.get(1).is_some_and(|(at_ms, _)| *at_ms <= before_ms) {
+            self.history.pop_front();
+        }
+        let Some((at_ms, known)) = self.history.front().filter(|(at_ms, _)| *at_ms <= before_ms)
+        else {
+            return;
+        };
+        for (id, replica) in &self.replicas {
+            let Some(group) = &replica.group else { continue };
+            let is_running = replica.paused_until_ms <= self.now_ms;
+            if is_running && group.is_current(CURRENT_TTL, self.now()) {
+                assert!(
+                    group.commit_index() >= *known,
+                    "{id} says it is current and has {} of {known} entries, committed at {at_ms} ms, at {} ms",
+                    group.commit_index(),
+                    self.now_ms
+                );
+            }
+        }
+    }
 }
