entry: send the body of every request as its caller framed it

Cause: the entry removed Transfer-Encoding and Content-Length and left the framing to its HTTP client, which sends no body of unknown length with GET, HEAD or CONNECT unless the headers announce one (hyper's h1 encoder). The same in attempts through another entry or a replica, in retries, and in the declared interface, where it was lost if the body was streamed.

Change: the body goes on in the framing that it came in, for every method: chunks as chunks, a stated length as that length.

--- a/crates/node/src/fleet/caller_request.rs
+++ b/crates/node/src/fleet/caller_request.rs
@@ -3,7 +3,10 @@
 */
 
 use {
-    super::{entry_shell::EntryShell, request_body::RequestBody},
+    super::{
+        entry_shell::EntryShell,
+        request_body::{AttemptBody, RequestBody},
+    },
     hemlockspool_core::traffic::{
         fingerprint::{HeadIdentity, RequestFingerprint},
         request::AdmittedRequest,
@@ -41,6 +44,28 @@
         }
     }
 
+    /// Returns the request that an attempt sends to its next hop, with the headers for that hop.
+    ///
+    /// The body is framed as the caller framed it. Without headers that announce it, the HTTP client
+    /// sends no body of unknown length with a GET or a HEAD.
+    pub(super) fn for_attempt(&self, mut headers: HeaderMap) -> hyper::Request<AttemptBody> {
+        match self.body.announced_bytes() {
+            None => {
+                let chunked = HeaderValue::from_static("chunked");
+                headers.insert(header::TRANSFER_ENCODING, chunked);
+            }
+            Some(bytes) if self.headers.contains_key(header::CONTENT_LENGTH) => {
+                headers.insert(header::CONTENT_LENGTH, bytes.into());
+            }
+            Some(_) => {}
+        }
+        let mut request = hyper::Request::new(self.body.for_attempt());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
     /// Identifies the request if targets have ended under others with the same head. It then waits
     /// for the beginning of the body; one that doesn't come is reported by the attempt.
     pub(super) async fn identify_suspect(
--- a/crates/node/src/fleet/forwarding.rs
+++ b/crates/node/src/fleet/forwarding.rs
@@ -12,7 +12,7 @@
         connection_pool::{SendResult, TargetConnection},
         entry_shell::EntryShell,
         peer_forwarding,
-        request_body::{AttemptBody, BodyLimits, RequestBody},
+        request_body::{BodyLimits, RequestBody},
         response_body::{ResponseBody, read_body, stream_body},
     },
     bytes::Bytes,
@@ -321,7 +321,8 @@
     caller: &CallerRequest,
     id: &str,
 ) -> AttemptOutcome {
-    let request = build_request(attempt, caller);
+    let headers = headers::for_target(&caller.headers, &attempt.target, attempt.time_left);
+    let request = caller.for_attempt(headers);
     shell.link_turns.record_written(HEAD_BYTES);
     let mut sent_at = Instant::now();
     let (head, mut connection) = match shell.pool.send(attempt, request).await {
@@ -436,15 +437,6 @@
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
 
-fn build_request(attempt: &TargetAttempt, caller: &CallerRequest) -> hyper::Request<AttemptBody> {
-    let mut request = hyper::Request::new(caller.body.for_attempt());
-    *request.method_mut() = caller.method.clone();
-    *request.uri_mut() = caller.uri.clone();
-    *request.headers_mut() =
-        headers::for_target(&caller.headers, &attempt.target, attempt.time_left);
-    request
-}
-
 fn caller_response(response: TargetResponse) -> Response {
     let TargetResponse { parts, body, .. } = response;
     // Callers take these statuses as a promise that the request did not run. Only a target's
--- a/crates/node/src/fleet/peer_forwarding.rs
+++ b/crates/node/src/fleet/peer_forwarding.rs
@@ -11,7 +11,7 @@
         connection_pool::{SendResult, TargetConnection},
         entry_shell::EntryShell,
         forwarding::{AttemptGuard, AttemptOutcome, AttemptPlace, TargetResponse},
-        request_body::{AttemptBody, RequestBody},
+        request_body::RequestBody,
         response_body::{ResponseBody, read_body, stream_body},
     },
     hemlockspool_core::traffic::request::{AdmittedRequest, AttemptResult, PeerAttempt},
@@ -46,7 +46,7 @@
     caller: &CallerRequest,
     id: &str,
 ) -> AttemptOutcome {
-    let request = build_request(attempt, caller);
+    let request = caller.for_attempt(headers::for_peer(&caller.headers, attempt.time_left));
     let sent = shell.pool.send_new(attempt.address, attempt.connect_timeout, request).await;
     let (head, connection) = match sent {
         SendResult::Head(head, connection) => (head, connection),
@@ -92,11 +92,3 @@
         },
     })
 }
-
-fn build_request(attempt: &PeerAttempt, caller: &CallerRequest) -> hyper::Request<AttemptBody> {
-    let mut request = hyper::Request::new(caller.body.for_attempt());
-    *request.method_mut() = caller.method.clone();
-    *request.uri_mut() = caller.uri.clone();
-    *request.headers_mut() = headers::for_peer(&caller.headers, attempt.time_left);
-    request
-}
--- a/crates/node/src/proxy/attempt.rs
+++ b/crates/node/src/proxy/attempt.rs
@@ -142,9 +142,13 @@
     if let Some(key) = &proxied.key {
         request = request.header(IDEMPOTENCY_KEY_HEADER, key);
     }
-    if let Some(size) = proxied.body_bytes.filter(|size| *size > 0) {
-        request = request.header(header::CONTENT_LENGTH, size);
-    }
+    // Without a header that announces it, the HTTP client sends no body of unknown length with a GET
+    // or a HEAD.
+    request = match proxied.body_bytes {
+        None => request.header(header::TRANSFER_ENCODING, "chunked"),
+        Some(0) => request,
+        Some(size) => request.header(header::CONTENT_LENGTH, size),
+    };
     if matches!(dispatch.destination, AttemptDestination::Remote { .. }) {
         request = request
             .header(FORWARDED_HEADER, shell.settings.name.as_str())
