serve: refuse transfer codings other than chunks, and CONNECT

Cause: hyper decodes the chunks only, and the header, which applies to one connection, isn't passed on, so the target couldn't know of the other coding. What follows a CONNECT isn't a body either.

Evidence: request_framing_refused failed before ("transfer-encoding: gzip, chunked": 200) and passes. request_with_two_lengths, which sends a length beside chunks with each method, held before.

Change: both get 501 at once, at every interface, and nothing runs; the connection is closed.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -26,6 +26,7 @@
 */
 
 mod connection;
+mod framing;
 
 pub use connection::HeadLimits;
 
@@ -40,7 +41,7 @@
     hyper_util::rt::TokioIo,
     poem::{
         Endpoint, Request, Response,
-        http::{HeaderValue, header, uri::Scheme},
+        http::{HeaderValue, StatusCode, header, uri::Scheme},
         web::{LocalAddr, RemoteAddr},
     },
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
@@ -184,8 +185,14 @@
         let activity = Arc::clone(&service_activity);
         let is_chunkable = request.version() > Version::HTTP_10;
         async move {
-            let request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
-            let mut response = endpoint.get_response(request).await;
+            let mut response = if framing::is_readable(&request) {
+                let request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
+                endpoint.get_response(request).await
+            } else {
+                // What follows on the connection can't be told from the body.
+                let response = Response::builder().status(StatusCode::NOT_IMPLEMENTED);
+                response.header(header::CONNECTION, "close").finish()
+            };
             if let Some(keep_alive_timeout) = keep_alive_timeout {
                 set_keep_alive_header(&mut response, keep_alive_timeout);
             }
