entry: never send the rest of a body as a whole one

Cause, by reading: an attempt may begin although the kept beginning of the body has just been dropped, since the connection task of the attempt before it reads on for a moment after that attempt has ended. The new attempt then sent what was left: in chunks that looks complete, and after the end of the body it was an empty one.

Evidence: reading only.

Change: an attempt that begins without the whole body at hand ends its connection with an error in place of sending anything of it.

--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -74,13 +74,15 @@
         Self { source: Arc::new(Mutex::new(source)), link }
     }
 
-    /// Returns the body for the next attempt. Those of earlier attempts end with an error.
+    /// Returns the body for the next attempt. Those of earlier attempts end with an error, and so does
+    /// this one if an earlier attempt has taken more than is kept.
     pub(crate) fn for_attempt(&self) -> AttemptBody {
         let mut source = self.lock();
         source.reader += 1;
         AttemptBody {
             body: self.clone(),
             reader: source.reader,
+            is_whole: source.kept.is_some(),
             position: 0,
             pending: Bytes::new(),
             sent_bytes: 0,
@@ -272,6 +274,9 @@
 pub(crate) struct AttemptBody {
     body: RequestBody,
     reader: u32,
+    /// Whether the beginning of the body was kept when the attempt began. The task of an earlier
+    /// attempt may read on for a moment after the attempt has ended.
+    is_whole: bool,
     /// The number of kept pieces that this attempt has taken.
     position: usize,
     /// The part of the last one that wasn't sent yet.
@@ -312,7 +317,7 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let request_body = self.body.clone();
         let mut source = request_body.lock();
-        if source.reader != self.reader {
+        if source.reader != self.reader || !self.is_whole {
             return Poll::Ready(Some(Err(io::ErrorKind::Interrupted.into())));
         }
         match ready!(self.poll_pending(&mut source, cx)) {
@@ -335,7 +340,7 @@
     fn is_end_stream(&self) -> bool {
         let source = self.body.lock();
         let is_taken = source.kept.as_ref().is_none_or(|kept| self.position >= kept.len());
-        self.pending.is_empty() && source.is_complete && is_taken
+        self.is_whole && self.pending.is_empty() && source.is_complete && is_taken
     }
 
     fn size_hint(&self) -> SizeHint {
