--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -9,7 +9,7 @@
             durability::DeferredAction,
             log_buffer::LogBuffer,
             progress::PeerProgress,
-            snapshot::IncomingSnapshot,
+            snapshot::{IncomingSnapshot, ReceivedSnapshot},
             types::{
                 ConsensusMessage, ELECTION_TIMEOUT_JITTER, ELECTION_TIMEOUT_MIN,
                 HEARTBEAT_INTERVAL, HardState, LEADER_LEASE, LogEntry, LogPayload, LogPosition,
@@ -122,7 +122,7 @@
     pub(crate) election_due: Moment,
     pub(crate) heartbeat_due: Moment,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
-    pub(crate) installed_snapshot: Option<SnapshotImage>,
+    pub(crate) received_snapshot: Option<ReceivedSnapshot>,
     pub(crate) effects: Vec<ConsensusEffect>,
     pub(crate) random: Pcg32,
     /// Whether learners that have caught up are promoted to voters automatically.
@@ -172,7 +172,7 @@
             election_due: now,
             heartbeat_due: now,
             incoming_snapshot: None,
-            installed_snapshot: None,
+            received_snapshot: None,
             effects: Vec::new(),
             random,
             auto_promote: true,
@@ -401,11 +401,6 @@
         self.log.after(self.applied_index)
     }
 
-    /// Takes a newly installed snapshot of a leader, which replaces the ledger, or returns `None`.
-    pub fn take_installed_snapshot(&mut self) -> Option<SnapshotImage> {
-        self.installed_snapshot.take()
-    }
-
     /// Takes the pending effects.
     pub fn take_effects(&mut self) -> Vec<ConsensusEffect> {
         std::mem::take(&mut self.effects)
--- a/crates/core/src/consensus/snapshot.rs
+++ b/crates/core/src/consensus/snapshot.rs
@@ -29,6 +29,17 @@
 pub(crate) struct IncomingSnapshot {
     source: SnapshotSource,
     bytes: Vec<u8>,
+    /// Whether it is complete and was taken to be decoded.
+    is_taken: bool,
+}
+
+/// A complete snapshot of a leader that isn't installed yet, because it may not be readable.
+#[derive(Clone, Debug)]
+pub struct ReceivedSnapshot {
+    /// The snapshot.
+    pub image: SnapshotImage,
+    leader: ReplicaId,
+    sent_at: Moment,
 }
 
 /// The origin of a snapshot's chunks. Two leaders may encode the same ledger differently, so only
@@ -132,7 +143,8 @@
         let is_same_source =
             self.incoming_snapshot.as_ref().is_some_and(|incoming| incoming.source == source);
         if !is_same_source {
-            self.incoming_snapshot = Some(IncomingSnapshot { source, bytes: Vec::new() });
+            let (bytes, is_taken) = (Vec::new(), false);
+            self.incoming_snapshot = Some(IncomingSnapshot { source, bytes, is_taken });
         }
         let Some(incoming) = &mut self.incoming_snapshot else {
             return;
@@ -141,28 +153,39 @@
             incoming.bytes.extend_from_slice(&data);
         }
         let received = incoming.bytes.len() as u64;
-        if received >= total {
-            self.install_incoming_snapshot();
+        if received < total {
+            self.reply_snapshot(from, last_index, received, sent_at);
+            return;
+        }
+        // A snapshot that couldn't be read isn't acknowledged, however often its end arrives.
+        if !std::mem::replace(&mut incoming.is_taken, true) {
+            let image =
+                SnapshotImage { meta: incoming.source.meta.clone(), bytes: incoming.bytes.clone() };
+            self.received_snapshot = Some(ReceivedSnapshot { image, leader: from, sent_at });
         }
-        self.reply_snapshot(from, last_index, received, sent_at);
     }
 
-    fn install_incoming_snapshot(&mut self) {
-        let Some(incoming) = self.incoming_snapshot.take() else {
-            return;
-        };
-        let meta = incoming.source.meta;
-        let last = meta.last;
-        let image = SnapshotImage { meta, bytes: incoming.bytes };
+    /// Takes a complete snapshot of a leader, to be decoded and then passed to
+    /// [`install_snapshot`](Self::install_snapshot), or dropped if it can't be read.
+    pub fn take_received_snapshot(&mut self) -> Option<ReceivedSnapshot> {
+        self.received_snapshot.take()
+    }
+
+    /// Replaces the log with a snapshot that could be decoded, and acknowledges it.
+    pub fn install_snapshot(&mut self, received: ReceivedSnapshot) -> Vec<super::ConsensusEffect> {
+        let ReceivedSnapshot { image, leader, sent_at } = received;
+        let (last, total) = (image.meta.last, image.bytes.len() as u64);
+        self.incoming_snapshot = None;
         self.truncate_local(last.index.min(self.commit_index));
         self.log.reset(last);
         self.member_log = vec![(last.index, image.meta.members.clone())];
         self.commit_index = last.index;
         self.applied_index = last.index;
-        self.image = image.clone();
-        self.installed_snapshot = Some(image);
+        self.image = image;
         self.persist_reset();
         self.log_event(LogEvent::SnapshotInstalled { index: last.index });
+        self.reply_snapshot(leader, last.index, total, sent_at);
+        self.take_effects()
     }
 
     fn reply_snapshot(&mut self, to: ReplicaId, last_index: u64, received: u64, echo: Moment) {
--- a/crates/core/src/log_events.rs
+++ b/crates/core/src/log_events.rs
@@ -70,7 +70,13 @@
         /// The size of the snapshot in bytes.
         bytes: usize,
     },
-    /// A snapshot from the leader was installed. It replaces the ledger if it can be decoded.
+    /// A snapshot from the leader can't be decoded. This replica keeps its state and acknowledges
+    /// nothing.
+    SnapshotUnreadable {
+        /// The index of the last log entry included.
+        index: u64,
+    },
+    /// A snapshot from the leader was installed. It replaces the ledger.
     SnapshotInstalled {
         /// The index of the last log entry included.
         index: u64,
@@ -160,6 +166,7 @@
         (125, LogLevel::Warn, "a new data folder replaced an older one of the same instance"),
         (126, LogLevel::Warn, "a replica that does not reply lost its vote"),
         (127, LogLevel::Warn, "a replica lacks log entries that it had acknowledged"),
+        (128, LogLevel::Warn, "a snapshot from the leader can't be read"),
         (130, LogLevel::Warn, "a message from another deployment was dropped"),
         (140, LogLevel::Warn, "a target was ejected after failures"),
         (141, LogLevel::Info, "the ejection of a target ended"),
@@ -192,6 +199,7 @@
             Self::ReplicaReplaced { .. } => 125,
             Self::ReplicaDemoted { .. } => 126,
             Self::EntriesMissing { .. } => 127,
+            Self::SnapshotUnreadable { .. } => 128,
             Self::ForeignMessage { .. } => 130,
             Self::TargetEjected { .. } => 140,
             Self::TargetRestored { .. } => 141,
@@ -235,7 +243,9 @@
                 write!(f, " term={term}")
             }
             Self::SnapshotTaken { index, bytes } => write!(f, " index={index} bytes={bytes}"),
-            Self::SnapshotInstalled { index } => write!(f, " index={index}"),
+            Self::SnapshotInstalled { index } | Self::SnapshotUnreadable { index } => {
+                write!(f, " index={index}")
+            }
             Self::TargetEjected { target }
             | Self::TargetRestored { target }
             | Self::TargetLeaving { target } => write!(f, " target={target}"),
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -299,13 +299,16 @@
     fn process_effects(&mut self, effects: Vec<ConsensusEffect>) -> Vec<NodeEffect> {
         let mut out: Vec<NodeEffect> = Vec::new();
         self.convert_effects(effects, &mut out);
-        if let Some(image) = self.group.take_installed_snapshot() {
-            // If the snapshot can't be decoded, the ledger keeps its old state, although the log
-            // continues after the snapshot. The next start then fails with a `LedgerError`, unless
-            // this replica has taken a snapshot since.
-            if let Ok(ledger) = LedgerState::decode(&image.bytes) {
-                self.ledger = ledger;
-                self.published_index = image.meta.last.index;
+        if let Some(received) = self.group.take_received_snapshot() {
+            let index = received.image.meta.last.index;
+            match LedgerState::decode(&received.image.bytes) {
+                Ok(ledger) => {
+                    self.ledger = ledger;
+                    self.published_index = index;
+                    let install_effects = self.group.install_snapshot(received);
+                    self.convert_effects(install_effects, &mut out);
+                }
+                Err(_) => out.push(NodeEffect::Log(LogEvent::SnapshotUnreadable { index })),
             }
         }
         let previous_published_index = self.published_index;
--- a/crates/core/tests/acknowledged_entries.rs
+++ b/crates/core/tests/acknowledged_entries.rs
@@ -70,6 +70,9 @@
     F: FnOnce(&mut ConsensusGroup) -> Vec<ConsensusEffect>,
 {
     let mut effects = function(group);
+    if let Some(received) = group.take_received_snapshot() {
+        effects.extend(group.install_snapshot(received));
+    }
     let mut sent = Vec::new();
     while !effects.is_empty() {
         for effect in std::mem::take(&mut effects) {
@@ -226,9 +229,9 @@
         };
         assert!(sent.iter().any(restarts), "{sent:?}");
         assert_eq!(group.commit_index(), ORIGIN.index, "an incomplete snapshot is installed");
-        receive(&mut group, successor, part(0, total), 30);
-        let image = group.take_installed_snapshot().expect("the snapshot is complete");
-        assert_eq!(image.bytes, vec![1; total as usize]);
+        group.receive(successor, peer(successor), part(0, total), at(30));
+        let received = group.take_received_snapshot().expect("the snapshot is complete");
+        assert_eq!(received.image.bytes, vec![1; total as usize]);
     }
 }
 
--- a/crates/core/tests/common/replica_group.rs
+++ b/crates/core/tests/common/replica_group.rs
@@ -273,10 +273,14 @@
         self.perform(id, effects);
         let replica = self.replicas.get_mut(&id).unwrap();
         let group = replica.group.as_mut().unwrap();
-        if let Some(image) = group.take_installed_snapshot() {
-            replica.ledger = decode_ledger(&image.bytes);
+        if let Some(received) = group.take_received_snapshot() {
+            replica.ledger = decode_ledger(&received.image.bytes);
+            let effects = group.install_snapshot(received);
             self.installed += 1;
+            self.perform(id, effects);
         }
+        let replica = self.replicas.get_mut(&id).unwrap();
+        let group = replica.group.as_mut().unwrap();
         let mut is_large = false;
         for entry in group.take_committed() {
             let first_seen = self.committed.entry(entry.position.index).or_insert(entry.position);
--- a/crates/core/tests/fault_injection.rs
+++ b/crates/core/tests/fault_injection.rs
@@ -10,7 +10,12 @@
 
 use {
     common::{TICK_US, TestCluster, TestFaults, form_group, region_set},
-    hemlockspool_core::reducer::NodeEvent,
+    hemlockspool_core::{
+        clock::Moment,
+        consensus::{ConsensusMessage, GroupId, LogPosition, SnapshotMeta},
+        reducer::NodeEvent,
+        wire::PeerMessage,
+    },
     hemlockspool_model::{api::PublishOutcome, names::ConfigVersion},
 };
 
@@ -229,3 +234,45 @@
     cluster.run_without_faults_until(5, |cluster| version_at(cluster, leader) > base);
     assert_eq!(version_at(&cluster, leader), base, "another version than the base is in force");
 }
+
+/// Guards against a replica that takes the place of a snapshot which it can't read: it acknowledged
+/// entries that it hadn't stored, and applied later ones to an old state.
+#[test]
+fn publication_unreadable_snapshot() {
+    let faults = TestFaults {
+        loss_percent: 0,
+        duplicate_percent: 0,
+        crash_per_mille: 0,
+        disk_loss_per_mille: 0,
+        pause_per_mille: 0,
+        cut_per_mille: 0,
+    };
+    let mut cluster = TestCluster::new(3, 1, faults);
+    form_group(&mut cluster);
+    cluster.publish(0, "base", ConfigVersion(0), region_set(&[]));
+    let has_base = |cluster: &TestCluster| version_at(cluster, 1) == ConfigVersion(1);
+    assert!(cluster.run_without_faults_until(10, has_base));
+    let group = |cluster: &TestCluster, index: usize| {
+        cluster.nodes[index].state.as_ref().unwrap().replica().unwrap().group().clone()
+    };
+    let (leader, last_index) = (group(&cluster, 0), group(&cluster, 1).last_position().index);
+    let position = LogPosition { term: leader.term(), index: last_index + 1_000 };
+    let message = ConsensusMessage::SnapshotChunk {
+        term: leader.term(),
+        meta: SnapshotMeta { last: position, members: leader.members().clone() },
+        offset: 0,
+        total: 3,
+        data: vec![0xFF; 3],
+        sent_at: Moment(cluster.now_us),
+    };
+    let identity = cluster.nodes[0].state.as_ref().unwrap().identity();
+    let envelope = identity.envelope(PeerMessage::Consensus {
+        group: GroupId::default(),
+        from: leader.me(),
+        to: cluster.nodes[1].replica,
+        message,
+    });
+    cluster.apply(1, NodeEvent::Peer(Box::new(envelope)));
+    assert_eq!(group(&cluster, 1).last_position().index, last_index);
+    publish_without_faults(&mut cluster);
+}
