consensus: forget what a replica had when it is removed

Cause: a leader kept the match index of a replica that it had removed, and used it when the same replica was added again: it counted entries as stored there, and could give it a vote, before the replica had said anything.

Evidence: progress_of_removed_replica failed before (21 entries counted) and passes. Nothing of it was seen outside the test: data folders that are lost get a new id, so what was counted was there unless the folder was restored from an older copy.

Change: a change of the members drops the progress of replicas that it removes.

--- a/crates/core/src/consensus/group.rs
+++ b/crates/core/src/consensus/group.rs
@@ -442,6 +442,8 @@
     pub(crate) fn append_local(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
             if let LogPayload::Members(members) = &entry.payload {
+                // What a replica had says nothing about the same one when it is added again.
+                self.progress.retain(|id, _| members.contains_key(id));
                 self.member_log.push((entry.position.index, members.clone()));
             }
             self.log.push(entry);
--- a/crates/core/tests/acknowledged_entries.rs
+++ b/crates/core/tests/acknowledged_entries.rs
@@ -330,3 +330,17 @@
     receive(&mut group, LEADER, append_of(first, Vec::new(), 10), 20);
     assert!(group.is_current(TTL, at(20)));
 }
+
+/// Guards against a replica that gets a vote again by what it had before it was removed.
+#[test]
+fn progress_of_removed_replica() {
+    let mut group = leader();
+    for id in [FOLLOWER, ReplicaId(3)] {
+        receive(&mut group, id, reply(Some(21), 21, 5_020), 5_100);
+    }
+    let member = group.members()[&FOLLOWER].clone();
+    group.remove(&member.name, at(5_110)).unwrap();
+    receive(&mut group, ReplicaId(3), reply(Some(22), 22, 5_110), 5_200);
+    group.add_learner(FOLLOWER, member, at(5_210)).unwrap();
+    assert_eq!(group.match_index(FOLLOWER).unwrap_or(0), 0);
+}
