disk: one write for each sync, and a durable name for the log's folder

What callers could see: a replica that refuses to start for good after a loss of power, and with it all that it has acknowledged.

Cause, by reading: batches that were queued together were written one by one before their sync. A loss of power may keep a later one and lose one before it (DEPLOY.md, Disk); the hole passes for a damaged record, and the log store rightly opens no damaged log. Also, the folder of the log was created without a sync of the folder that holds its name.

The format of the files is the same.

--- a/crates/node/src/disk/store.rs
+++ b/crates/node/src/disk/store.rs
@@ -44,6 +44,8 @@
     /// operation fails.
     pub(crate) fn open(folder: &Path) -> Result<(Self, RestoredLog), DiskError> {
         fs::create_dir_all(folder).map_err(DiskAction::Create.error_at(folder))?;
+        // What is synced in the folder is lost with the folder's name.
+        folder.parent().map_or(Ok(()), sync_folder)?;
         let number = newest_segment(folder)?;
         let path = segment_path(folder, number.unwrap_or(0));
         if number.is_none() {
@@ -66,18 +68,31 @@
         Ok((store, restored))
     }
 
-    /// Writes a batch. It is durable only after [`LogStore::sync`], unless it starts a new segment.
+    /// Writes batches, in their order and in a single write. They are durable only after
+    /// [`LogStore::sync`], except for a snapshot and what came before it.
+    ///
+    /// A loss of power may keep any of the writes since the last sync and lose others. With one
+    /// write for each sync, what it leaves ends with a partial write and has no hole in it.
     ///
     /// # Errors
     ///
-    /// Returns [`DiskError::Io`]. If the disk is full ([`DiskError::is_full`]), the same batch may
+    /// Returns [`DiskError::Io`]. If the disk is full ([`DiskError::is_full`]), the same batches may
     /// be written again. After any other error, the store must no longer be used.
-    pub(crate) fn write(&mut self, batch: &PersistBatch) -> Result<(), DiskError> {
-        if let Some((image, base)) = &batch.reset {
-            return self.replace_with_snapshot(image, *base, batch);
+    pub(crate) fn write(&mut self, batches: &[PersistBatch]) -> Result<(), DiskError> {
+        // A snapshot comes with the whole log as it is then, so it replaces all earlier batches.
+        let last_reset = batches.iter().rposition(|batch| batch.reset.is_some());
+        if let Some(index) = last_reset
+            && let Some((image, base)) = &batches[index].reset
+        {
+            self.replace_with_snapshot(image, *base, &batches[index])?;
         }
         let mut bytes = Vec::new();
-        append_batch(batch, &mut bytes);
+        for batch in batches.iter().skip(last_reset.map_or(0, |index| index + 1)) {
+            append_batch(batch, &mut bytes);
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
         let path = segment_path(&self.folder, self.number);
         if self.partial_write {
             self.segment.set_len(self.length).map_err(DiskAction::Write.error_at(&path))?;
--- a/crates/node/src/disk/writer.rs
+++ b/crates/node/src/disk/writer.rs
@@ -63,22 +63,23 @@
 {
     while let Ok(first) = receiver.recv() {
         let mut ticket = first.ticket;
-        write_with_retry(&mut store, &first.batch)?;
+        let mut batches = vec![first.batch];
         while let Ok(next) = receiver.try_recv() {
             ticket = next.ticket;
-            write_with_retry(&mut store, &next.batch)?;
+            batches.push(next.batch);
         }
+        write_with_retry(&mut store, &batches)?;
         store.sync()?;
         on_synced(ticket);
     }
     Ok(())
 }
 
-/// Writes a batch, and retries while the disk is full. Nothing is reported as synced meanwhile, and
+/// Writes batches, and retries while the disk is full. Nothing is reported as synced meanwhile, and
 /// the instance continues with everything that needs no disk.
-fn write_with_retry(store: &mut LogStore, batch: &PersistBatch) -> Result<(), DiskError> {
+fn write_with_retry(store: &mut LogStore, batches: &[PersistBatch]) -> Result<(), DiskError> {
     loop {
-        match store.write(batch) {
+        match store.write(batches) {
             Err(error) if error.is_full() => thread::sleep(DISK_FULL_BACKOFF),
             result => return result,
         }
