entry: state the length of a GET's body towards other entries

Cause: beside entries of earlier builds, a GET whose body comes in chunks still lost it when a cut off entry sent it through one of them, since those drop such a body on the way to the target.

Change: towards another entry, the body of a GET or HEAD in chunks is received first and sent with its length, which every build passes on.

--- a/crates/node/src/fleet/caller_request.rs
+++ b/crates/node/src/fleet/caller_request.rs
@@ -48,13 +48,34 @@
     ///
     /// The body is framed as the caller framed it. Without headers that announce it, the HTTP client
     /// sends no body of unknown length with a GET or a HEAD.
-    pub(super) fn for_attempt(&self, mut headers: HeaderMap) -> hyper::Request<AttemptBody> {
-        match self.body.announced_bytes() {
+    pub(super) fn for_attempt(&self, headers: HeaderMap) -> hyper::Request<AttemptBody> {
+        self.framed(headers, self.body.announced_bytes())
+    }
+
+    /// Returns the request that an attempt sends to another entry.
+    ///
+    /// Entries of earlier builds pass on a body in chunks with every method but GET and HEAD, so
+    /// such a body is received first and sent with its length, if it isn't too long to be kept.
+    pub(super) async fn for_peer_attempt(&self, headers: HeaderMap) -> hyper::Request<AttemptBody> {
+        let is_dropped = matches!(self.method, Method::GET | Method::HEAD);
+        let body_bytes = match self.body.announced_bytes() {
+            None if is_dropped => self.body.receive_kept().await,
+            announced_bytes => announced_bytes,
+        };
+        self.framed(headers, body_bytes)
+    }
+
+    fn framed(
+        &self,
+        mut headers: HeaderMap,
+        body_bytes: Option<u64>,
+    ) -> hyper::Request<AttemptBody> {
+        match body_bytes {
             None => {
                 let chunked = HeaderValue::from_static("chunked");
                 headers.insert(header::TRANSFER_ENCODING, chunked);
             }
-            Some(bytes) if self.headers.contains_key(header::CONTENT_LENGTH) => {
+            Some(bytes) if bytes > 0 || self.headers.contains_key(header::CONTENT_LENGTH) => {
                 headers.insert(header::CONTENT_LENGTH, bytes.into());
             }
             Some(_) => {}
--- a/crates/node/src/fleet/peer_forwarding.rs
+++ b/crates/node/src/fleet/peer_forwarding.rs
@@ -46,7 +46,8 @@
     caller: &CallerRequest,
     id: &str,
 ) -> AttemptOutcome {
-    let request = caller.for_attempt(headers::for_peer(&caller.headers, attempt.time_left));
+    let headers = headers::for_peer(&caller.headers, attempt.time_left);
+    let request = caller.for_peer_attempt(headers).await;
     let sent = shell.pool.send_new(attempt.address, attempt.connect_timeout, request).await;
     let (head, connection) = match sent {
         SendResult::Head(head, connection) => (head, connection),
--- a/crates/node/src/fleet/request_body.rs
+++ b/crates/node/src/fleet/request_body.rs
@@ -30,6 +30,10 @@
 /// The time for which the rest of a body is read and discarded after the response.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The room left for one more piece when a body is received to be kept, in bytes: the size of the
+/// largest buffer from which a caller's connection is read.
+const PIECE_ROOM_BYTES: u64 = 64 << 10;
+
 /// The limits on a body.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyLimits {
@@ -115,6 +119,27 @@
         self.lock().announced_bytes
     }
 
+    /// Waits until the whole body is there, and returns its length in bytes; none if it is longer than
+    /// what is kept for the attempts, or has failed.
+    pub(crate) async fn receive_kept(&self) -> Option<u64> {
+        poll_fn(|cx| {
+            let mut source = self.lock();
+            // A piece may exceed what is kept, so as many bytes are left for it.
+            let reads_on = |source: &BodySource| {
+                !source.is_complete
+                    && source.failure.is_none()
+                    && source.received_bytes + PIECE_ROOM_BYTES <= source.limits.kept_bytes_max
+            };
+            while reads_on(&source) {
+                // A failure is also in the source.
+                let _ = ready!(source.poll_piece(cx));
+            }
+            let is_whole = source.is_complete && source.failure.is_none() && source.kept.is_some();
+            Poll::Ready(is_whole.then_some(source.received_bytes))
+        })
+        .await
+    }
+
     /// Returns the hash of the body's beginning; none before enough of it was received.
     pub(crate) fn hash(&self) -> Option<u64> {
         let source = self.lock();
