--- a/crates/core/tests/common/replica_group.rs
+++ b/crates/core/tests/common/replica_group.rs
@@ -2,21 +2,21 @@
 //! disks that are slow and lose unsynced writes, crashes, pauses and membership changes.
 
 use {
-    super::disk::TestDisk,
+    super::{
+        disk::TestDisk,
+        replica_log::{command, decode_ledger, encode_ledger, holds, member, peer, position_at},
+    },
     hemlockspool_core::{
         clock::Moment,
         consensus::{
             ConsensusEffect, ConsensusGroup, ConsensusMessage, HardState, LogPayload, LogPosition,
-            MemberSet, ReplicaId, ReplicaMember, RestoredLog, SnapshotImage, SnapshotMeta,
-            TRAILING_ENTRIES,
+            MemberSet, ReplicaId, RestoredLog, SnapshotImage, SnapshotMeta, TRAILING_ENTRIES,
         },
-        ledger::{LedgerCommand, TableCommand},
     },
     rand::{Rng, SeedableRng},
     rand_pcg::Pcg32,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
-        net::SocketAddr,
         time::Duration,
     },
 };
@@ -24,12 +24,12 @@
 /// Duration of a simulation step, in milliseconds.
 pub const STEP_MS: u64 = 5;
 /// Number of replicas that vote from the start; one more joins as a learner.
-pub const VOTERS: u64 = 5;
+const VOTERS: u64 = 5;
 /// Sizes of an encoded ledger in bytes: a snapshot takes one message or several.
 const LEDGER_BYTES: [usize; 2] = [1_000, 200_000];
 /// Bandwidth of a link.
 const BYTES_PER_MS: u64 = 8_000;
-/// Of so many commands one requires a snapshot that leaves no entries in the log.
+/// Every so many commands, one requires a snapshot that leaves no entries in the log.
 const LARGE_COMMAND_INTERVAL: u64 = 24;
 /// Position of the entry that all replicas have at the start.
 const ORIGIN: LogPosition = LogPosition { term: 1, index: 1 };
@@ -39,57 +39,6 @@
 /// Time for which a replica says that it is current.
 const CURRENT_TTL: Duration = Duration::from_millis(1_000);
 
-pub fn peer(id: ReplicaId) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1], id.0 as u16))
-}
-
-pub fn member(id: ReplicaId, voter: bool) -> ReplicaMember {
-    ReplicaMember { name: format!("n{}", id.0).as_str().into(), peer: peer(id), voter }
-}
-
-pub fn command(number: u64) -> LogPayload {
-    let command = LedgerCommand::Table(TableCommand::Confirm);
-    LogPayload::Command { at_ms: number, command }
-}
-
-/// Encodes a ledger as its writer does: equal ledgers differ in their bytes between writers, as they
-/// may between builds.
-pub fn encode_ledger(writer: ReplicaId, numbers: &[u64], size: usize) -> Vec<u8> {
-    let length = size + numbers.len() * 8 + writer.0 as usize * 100;
-    let mut bytes = Vec::with_capacity(length);
-    for number in [length as u64, numbers.len() as u64].iter().chain(numbers) {
-        bytes.extend_from_slice(&number.to_le_bytes());
-    }
-    bytes.resize(length, writer.0 as u8);
-    bytes
-}
-
-/// Decodes a ledger; panics if it isn't as one writer encoded it.
-pub fn decode_ledger(bytes: &[u8]) -> Vec<u64> {
-    let number = |index: usize| u64::from_le_bytes(bytes[index * 8..][..8].try_into().unwrap());
-    assert_eq!(number(0) as usize, bytes.len(), "a snapshot of two writers");
-    let count = number(1) as usize;
-    let padding = &bytes[(count + 2) * 8..];
-    assert!(padding.iter().all(|byte| *byte == padding[0]), "a snapshot of two writers");
-    (2..count + 2).map(number).collect()
-}
-
-/// Returns the position of the entry at an index in a log; none if the log doesn't have it as an
-/// entry or a base.
-pub fn position_at(log: &RestoredLog, index: u64) -> Option<LogPosition> {
-    if index == log.base.index {
-        return Some(log.base);
-    }
-    let offset = index.checked_sub(log.base.index + 1)?;
-    log.entries.get(offset as usize).map(|entry| entry.position)
-}
-
-/// Returns whether a log has an entry, or a snapshot that includes it.
-pub fn holds(log: &RestoredLog, position: LogPosition) -> bool {
-    position.index <= log.image.meta.last.index
-        || position_at(log, position.index) == Some(position)
-}
-
 /// Rates of injected faults per step, in thousandths.
 #[derive(Clone, Copy, Debug)]
 pub struct GroupFaults {
--- a/crates/core/tests/replication.rs
+++ b/crates/core/tests/replication.rs
@@ -6,6 +6,8 @@
 mod disk;
 #[path = "common/replica_group.rs"]
 mod replica_group;
+#[path = "common/replica_log.rs"]
+mod replica_log;
 
 use self::replica_group::{GroupFaults, STEP_MS, TestGroup};
 
