Review case 12: a held up order ends an evacuation that was ordered after it

What breaks: EVAC. An order to end an evacuation that a partition held up is carried out when it arrives, although later orders were acknowledged.

--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -5,6 +5,7 @@
 
 mod early_answer;
 mod fleet;
+mod held_order;
 mod http;
 mod max_attempts;
 mod odd_entry;
@@ -30,6 +31,7 @@
         "early-answer" => early_answer::play,
         "odd-entry" => odd_entry::play,
         "max-attempts" => max_attempts::play,
+        "held-order" => held_order::play,
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
--- a/review/stand-ins-3/src/platform.rs
+++ b/review/stand-ins-3/src/platform.rs
@@ -52,7 +52,7 @@
 
 pub struct Target {
     pub name: String,
-    domain: &'static str,
+    pub domain: &'static str,
     pub address: SocketAddr,
     manner: Mutex<Manner>,
     running: AtomicUsize,
