--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -8,7 +8,6 @@
 mod held_order;
 mod http;
 mod max_attempts;
-mod odd_entry;
 mod platform;
 mod proxy;
 mod record;
@@ -29,7 +28,6 @@
     };
     let play = match case.as_str() {
         "early-answer" => early_answer::play,
-        "odd-entry" => odd_entry::play,
         "max-attempts" => max_attempts::play,
         "held-order" => held_order::play,
         _ => {
--- a/review/stand-ins-3/src/platform.rs
+++ b/review/stand-ins-3/src/platform.rs
@@ -8,7 +8,7 @@
         net::{SocketAddr, TcpListener},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         thread,
         time::Duration,
@@ -20,6 +20,8 @@
 /// The host of all routes.
 pub const HOST: &str = "ficu95.example";
 const SLOTS: usize = 64;
+/// The time for which a target works on a request.
+const WORK_TIME: Duration = Duration::from_millis(10);
 /// The bytes of a body after which a target that answers early does so.
 const EARLY_BYTES: usize = 16 << 10;
 /// The time from an early answer until the target reads on.
@@ -55,7 +57,6 @@
     pub domain: &'static str,
     pub address: SocketAddr,
     manner: Mutex<Manner>,
-    running: AtomicUsize,
     served: AtomicU64,
     runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -65,8 +66,6 @@
     pub list: SocketAddr,
     pub targets: Vec<Arc<Target>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
-    /// Entries of the list from another writer, each as the bytes of `"id":{...}`.
-    pub other_entries: Mutex<Vec<Vec<u8>>>,
 }
 
 impl Platform {
@@ -79,7 +78,6 @@
             list: listener.local_addr().expect("an address"),
             targets: targets.collect(),
             runs,
-            other_entries: Mutex::default(),
         });
         let served = Arc::clone(&platform);
         thread::spawn(move || {
@@ -112,14 +110,10 @@
                 "service": SERVICE, "addr": target.address, "failure_domain": target.domain,
                 "version": "v1", "slots": SLOTS, "state": "ready", "cold_left": "0ms",
             });
-            format!("\"{}\":{fields}", target.name).into_bytes()
+            format!("\"{}\":{fields}", target.name)
         });
-        let others = self.other_entries.lock().unwrap();
-        let entries: Vec<Vec<u8>> = entries.chain(others.iter().cloned()).collect();
-        let mut page = b"{\"instances\":{".to_vec();
-        page.extend(entries.join(&b','));
-        page.extend_from_slice(b"},\"next_token\":null}");
-        page
+        let entries: Vec<String> = entries.collect();
+        format!("{{\"instances\":{{{}}},\"next_token\":null}}", entries.join(",")).into_bytes()
     }
 }
 
@@ -132,7 +126,7 @@
             domain,
             address,
             manner: Mutex::new(Manner::Sound),
-            running: AtomicUsize::new(0),
+
             served: AtomicU64::new(0),
             runs,
         });
@@ -185,7 +179,7 @@
             return None;
         }
         let index = self.begin_run(&id, head, length, begun);
-        self.work();
+        thread::sleep(WORK_TIME);
         if manner == Manner::LosesAnswers && self.served.fetch_add(1, Ordering::SeqCst) % 5 < 2 {
             http::reset(&connection.stream);
             return None;
@@ -224,12 +218,6 @@
         runs.push(run);
         runs.len() - 1
     }
-
-    fn work(&self) {
-        self.running.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(Duration::from_millis(10));
-        self.running.fetch_sub(1, Ordering::SeqCst);
-    }
 }
 
 /// The body with which a target answers a request.
