--- a/review/stand-ins-3/src/early_answer.rs
+++ b/review/stand-ins-3/src/early_answer.rs
@@ -71,7 +71,8 @@
 pub fn play(root: &Path, trouble: bool, record: &mut Record) -> Verdict {
     let platform = Platform::start(&["a1", "a1", "a2", "a2", "b1", "b1"]);
     let fleet = Fleet::start(root, platform.list);
-    let route = Route { prefix: "/drawings/", repeat: "upload", sticky: true, homes: &[] };
+    let route =
+        Route { prefix: "/drawings/", repeat: "upload", sticky: true, homes: &[], cold_per_s: 7.5 };
     assert_eq!(fleet.publish(0, &table(5, &route)), Some(200), "the table is accepted");
     assert!(fleet.wait_ready(Duration::from_secs(15)), "the entries are ready");
     if trouble {
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -26,8 +26,8 @@
 pub const DOMAINS: [(&str, &str); 3] = [("a1", "a"), ("a2", "a"), ("b1", "b")];
 /// The failure domain of each replica; the first three are the founders.
 const REPLICAS: [&str; 5] = ["a1", "a2", "b1", "a1", "b1"];
-/// The failure domain of each entry.
-const ENTRIES: [&str; 4] = ["a1", "a1", "a2", "b1"];
+/// The failure domain of each entry, if a case doesn't say.
+const ENTRIES: &[&str] = &["a1", "a1", "a2", "b1"];
 
 /// A process of the deployment.
 pub struct Node {
@@ -68,7 +68,7 @@
 impl Fleet {
     /// Starts all processes.
     pub fn start(root: &Path, list: SocketAddr) -> Self {
-        Self::start_tunnelled(root, list, Vec::new())
+        Self::start_with(root, list, ENTRIES, Vec::new())
     }
 
     /// Does the same with proxies between the first entry and targets.
@@ -77,11 +77,21 @@
         list: SocketAddr,
         tunnels: Vec<(SocketAddr, SocketAddr)>,
     ) -> Self {
-        let addresses = free_addresses(REPLICAS.len() + ENTRIES.len());
+        Self::start_with(root, list, ENTRIES, tunnels)
+    }
+
+    /// Starts all processes, with an entry in each of these failure domains.
+    pub fn start_with(
+        root: &Path,
+        list: SocketAddr,
+        entries: &[&'static str],
+        tunnels: Vec<(SocketAddr, SocketAddr)>,
+    ) -> Self {
+        let addresses = free_addresses(REPLICAS.len() + entries.len());
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let replicas = REPLICAS.iter().enumerate().map(|(n, d)| ("replica", n, *d));
-        let entries = ENTRIES.iter().enumerate().map(|(n, d)| ("entry", n, *d));
+        let entries = entries.iter().enumerate().map(|(n, d)| ("entry", n, *d));
         let nodes = replicas.chain(entries).zip(addresses);
         let nodes = nodes.map(|((role, number, domain), address)| Node {
             name: format!("{role}-{number}"),
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -3,6 +3,7 @@
 //! broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` in its environment it does
 //! the same without the disruption.
 
+mod cold_restart;
 mod early_answer;
 mod fleet;
 mod held_order;
@@ -27,6 +28,7 @@
         return ExitCode::from(2);
     };
     let play = match case.as_str() {
+        "cold-restart" => cold_restart::play,
         "early-answer" => early_answer::play,
         "max-attempts" => max_attempts::play,
         "held-order" => held_order::play,
--- a/review/stand-ins-3/src/max_attempts.rs
+++ b/review/stand-ins-3/src/max_attempts.rs
@@ -37,7 +37,13 @@
     let ways = platform.targets.iter().zip(&proxies);
     let tunnels = ways.map(|(target, proxy)| (target.address, proxy.address)).collect();
     let fleet = Fleet::start_tunnelled(root, platform.list, tunnels);
-    let route = Route { prefix: "/lohu930/", repeat: "safe", sticky: false, homes: &["a"] };
+    let route = Route {
+        prefix: "/lohu930/",
+        repeat: "safe",
+        sticky: false,
+        homes: &["a"],
+        cold_per_s: 7.5,
+    };
     assert_eq!(fleet.publish(0, &table(5, &route)), Some(200), "the table is accepted");
     assert!(fleet.wait_ready(Duration::from_secs(15)), "the entries are ready");
     let entry = fleet.callers(fleet.entries().start);
--- a/review/stand-ins-3/src/platform.rs
+++ b/review/stand-ins-3/src/platform.rs
@@ -7,7 +7,7 @@
         io::Write,
         net::{SocketAddr, TcpListener},
         sync::{
-            Arc, Mutex,
+            Arc, Condvar, Mutex,
             atomic::{AtomicU64, Ordering},
         },
         thread,
@@ -16,17 +16,75 @@
 };
 
 /// The service of all targets.
-const SERVICE: &str = "huvo11a";
+pub const SERVICE: &str = "huvo11a";
 /// The host of all routes.
 pub const HOST: &str = "ficu95.example";
-const SLOTS: usize = 64;
-/// The time for which a target works on a request.
-const WORK_TIME: Duration = Duration::from_millis(10);
+/// The work of targets, if a case doesn't say.
+const WORK: Work = Work { slots: 64, queue: 192, time: Duration::from_millis(10) };
 /// The bytes of a body after which a target that answers early does so.
 const EARLY_BYTES: usize = 16 << 10;
 /// The time from an early answer until the target reads on.
 const READ_PAUSE: Duration = Duration::from_millis(200);
 
+/// What a target does at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// The requests that it runs concurrently.
+    pub slots: usize,
+    /// The requests that wait for a slot; more are refused.
+    pub queue: usize,
+    /// The time for which it works on a request.
+    pub time: Duration,
+}
+
+/// The slots of a target.
+pub struct Slots {
+    pub work: Work,
+    /// The numbers of requests that run and that wait.
+    taken: Mutex<(usize, usize)>,
+    freed: Condvar,
+}
+
+impl Slots {
+    pub fn new(work: Work) -> Self {
+        Self { work, taken: Mutex::default(), freed: Condvar::new() }
+    }
+
+    /// Waits for a slot; returns false if the queue is full.
+    pub fn take(&self) -> bool {
+        let mut taken = self.taken.lock().unwrap();
+        if taken.0 == self.work.slots {
+            if taken.1 == self.work.queue {
+                return false;
+            }
+            taken.1 += 1;
+            taken = self.freed.wait_while(taken, |taken| taken.0 == self.work.slots).unwrap();
+            taken.1 -= 1;
+        }
+        taken.0 += 1;
+        true
+    }
+
+    pub fn give_back(&self) {
+        self.taken.lock().unwrap().0 -= 1;
+        self.freed.notify_one();
+    }
+
+    /// The value of `X-Hemlockspool-Server-Load`.
+    pub fn load(&self) -> String {
+        let taken = self.taken.lock().unwrap();
+        format!("{},{},{}", taken.0, taken.1, self.work.slots)
+    }
+}
+
+/// Returns the response to a request that finds the queue full.
+pub fn full_response(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Hemlockspool-Attempt-Id: {id}\r\n\
+         X-Hemlockspool-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// A request that a target began to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -57,6 +115,7 @@
     pub domain: &'static str,
     pub address: SocketAddr,
     manner: Mutex<Manner>,
+    slots: Slots,
     served: AtomicU64,
     runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -66,18 +125,28 @@
     pub list: SocketAddr,
     pub targets: Vec<Arc<Target>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Returns the fields of an entry of the list besides those of the targets, and its id.
+    pub other_entry: Mutex<Option<EntrySource>>,
 }
 
+/// Returns the id and the fields of an entry of the list, or none while it isn't there.
+pub type EntrySource = Box<dyn Fn() -> Option<(String, serde_json::Value)> + Send>;
+
 impl Platform {
     /// Starts a target in each of the failure domains, and their list.
     pub fn start(domains: &[&'static str]) -> Arc<Self> {
+        Self::start_with(domains, WORK)
+    }
+
+    pub fn start_with(domains: &[&'static str], work: Work) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-        let targets = domains.iter().map(|domain| Target::start(domain, Arc::clone(&runs)));
+        let targets = domains.iter().map(|domain| Target::start(domain, work, Arc::clone(&runs)));
         let platform = Arc::new(Self {
             list: listener.local_addr().expect("an address"),
             targets: targets.collect(),
             runs,
+            other_entry: Mutex::new(None),
         });
         let served = Arc::clone(&platform);
         thread::spawn(move || {
@@ -108,17 +177,19 @@
         let entries = self.targets.iter().map(|target| {
             let fields = json!({
                 "service": SERVICE, "addr": target.address, "failure_domain": target.domain,
-                "version": "v1", "slots": SLOTS, "state": "ready", "cold_left": "0ms",
+                "version": "v1", "slots": target.slots.work.slots, "state": "ready", "cold_left": "0ms",
             });
             format!("\"{}\":{fields}", target.name)
         });
-        let entries: Vec<String> = entries.collect();
+        let other = self.other_entry.lock().unwrap().as_ref().and_then(|source| source());
+        let other = other.map(|(id, fields)| format!("\"{id}\":{fields}"));
+        let entries: Vec<String> = entries.chain(other).collect();
         format!("{{\"instances\":{{{}}},\"next_token\":null}}", entries.join(",")).into_bytes()
     }
 }
 
 impl Target {
-    fn start(domain: &'static str, runs: Arc<Mutex<Vec<Run>>>) -> Arc<Self> {
+    fn start(domain: &'static str, work: Work, runs: Arc<Mutex<Vec<Run>>>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let target = Arc::new(Self {
@@ -126,7 +197,7 @@
             domain,
             address,
             manner: Mutex::new(Manner::Sound),
-
+            slots: Slots::new(work),
             served: AtomicU64::new(0),
             runs,
         });
@@ -178,8 +249,12 @@
             // The request hasn't come whole, and isn't run.
             return None;
         }
+        if !self.slots.take() {
+            return connection.stream.write_all(full_response(&id).as_bytes()).ok();
+        }
         let index = self.begin_run(&id, head, length, begun);
-        thread::sleep(WORK_TIME);
+        thread::sleep(self.slots.work.time);
+        self.slots.give_back();
         if manner == Manner::LosesAnswers && self.served.fetch_add(1, Ordering::SeqCst) % 5 < 2 {
             http::reset(&connection.stream);
             return None;
@@ -187,9 +262,10 @@
         let text = answer_body(&id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Hemlockspool-Attempt-Id: {id}\r\n\
-             X-Hemlockspool-Response-Stamp: 3e1b.{}\r\nX-Hemlockspool-Server-Load: 0,0,{SLOTS}\r\n\
+             X-Hemlockspool-Response-Stamp: 3e1b.{}\r\nX-Hemlockspool-Server-Load: {}\r\n\
              Content-Length: {}\r\n\r\n",
             self.name,
+            self.slots.load(),
             text.len()
         );
         connection.stream.write_all([head, text].concat().as_bytes()).ok()?;
@@ -231,11 +307,12 @@
     pub repeat: &'a str,
     pub sticky: bool,
     pub homes: &'a [&'a str],
+    pub cold_per_s: f64,
 }
 
 /// Returns a table with one route to the service, on which a request may be sent to two targets.
 pub fn table(version: u64, route: &Route<'_>) -> String {
-    let Route { prefix, repeat, sticky, homes } = route;
+    let Route { prefix, repeat, sticky, homes, cold_per_s } = route;
     json!({
         "version": version,
         "routes": [{
@@ -245,7 +322,7 @@
         }],
         "services": [{
             "name": SERVICE, "health_path": "/health", "connections": 330, "protocol": "h1",
-            "tls": false, "cold_start": "3s", "cold_per_s": 7.5,
+            "tls": false, "cold_start": "3s", "cold_per_s": cold_per_s,
         }],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms",
