--- a/review/stand-ins-3/src/cold_restart.rs
+++ b/review/stand-ins-3/src/cold_restart.rs
@@ -202,15 +202,17 @@
     let platform = Platform::start_with(&["a1", "a1", "a1", "a1", "a2", "a2", "a2"], WORK);
     let backend = Backend::create();
     let listed = Arc::clone(&backend);
-    *platform.other_entry.lock().unwrap() = Some(Box::new(move || {
+    *platform.other_entries.lock().unwrap() = Some(Box::new(move || {
         // The list lags, and a backend that has crashed remains on it for some seconds.
-        let seen_at = Instant::now().checked_sub(LIST_LAG)?;
-        let cold_left = listed.state.lock().unwrap().cold_left(seen_at)?;
+        let seen_at = Instant::now() - LIST_LAG;
+        let Some(cold_left) = listed.state.lock().unwrap().cold_left(seen_at) else {
+            return Vec::new();
+        };
         let fields = json!({
             "service": SERVICE, "addr": listed.address, "failure_domain": "a2", "version": "v1",
             "slots": WORK.slots, "state": "ready", "cold_left": format!("{}ms", cold_left.as_millis()),
         });
-        Some((listed.id.clone(), fields))
+        vec![(listed.id.clone(), fields)]
     }));
     let fleet = Fleet::start_with(root, platform.list, ENTRIES, Vec::new());
     let route = Route {
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -4,6 +4,7 @@
 //! the same without the disruption.
 
 mod cold_restart;
+mod crashing_request;
 mod early_answer;
 mod fleet;
 mod held_order;
@@ -29,6 +30,7 @@
     };
     let play = match case.as_str() {
         "cold-restart" => cold_restart::play,
+        "crashing-request" => crashing_request::play,
         "early-answer" => early_answer::play,
         "max-attempts" => max_attempts::play,
         "held-order" => held_order::play,
--- a/review/stand-ins-3/src/platform.rs
+++ b/review/stand-ins-3/src/platform.rs
@@ -125,12 +125,12 @@
     pub list: SocketAddr,
     pub targets: Vec<Arc<Target>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
-    /// Returns the fields of an entry of the list besides those of the targets, and its id.
-    pub other_entry: Mutex<Option<EntrySource>>,
+    /// Returns the entries of the list besides those of the targets.
+    pub other_entries: Mutex<Option<EntrySource>>,
 }
 
-/// Returns the id and the fields of an entry of the list, or none while it isn't there.
-pub type EntrySource = Box<dyn Fn() -> Option<(String, serde_json::Value)> + Send>;
+/// Returns the ids and the fields of entries of the list.
+pub type EntrySource = Box<dyn Fn() -> Vec<(String, serde_json::Value)> + Send>;
 
 impl Platform {
     /// Starts a target in each of the failure domains, and their list.
@@ -146,7 +146,7 @@
             list: listener.local_addr().expect("an address"),
             targets: targets.collect(),
             runs,
-            other_entry: Mutex::new(None),
+            other_entries: Mutex::new(None),
         });
         let served = Arc::clone(&platform);
         thread::spawn(move || {
@@ -181,9 +181,10 @@
             });
             format!("\"{}\":{fields}", target.name)
         });
-        let other = self.other_entry.lock().unwrap().as_ref().and_then(|source| source());
-        let other = other.map(|(id, fields)| format!("\"{id}\":{fields}"));
-        let entries: Vec<String> = entries.chain(other).collect();
+        let others = self.other_entries.lock().unwrap().as_ref().map(|source| source());
+        let others = others.into_iter().flatten();
+        let others = others.map(|(id, fields)| format!("\"{id}\":{fields}"));
+        let entries: Vec<String> = entries.chain(others).collect();
         format!("{{\"instances\":{{{}}},\"next_token\":null}}", entries.join(",")).into_bytes()
     }
 }
