--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Uploads to targets that answer before they have read a long body, and read on later.
+# A backend that crashes while it is cold, and soon starts again under its id.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand-ins-3/target/release/review-stand-ins-3
 [ -x "$program" ] && [ -x target/release/hemlockspoold ] || exit 2
 # TROUBLE=0 leaves out the disruption.
-TROUBLE="${TROUBLE:-1}" "$program" early-answer review/11/record.txt
+TROUBLE="${TROUBLE:-1}" "$program" cold-restart review/11/record.txt
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
